--- /dev/null
+++ b/src/borageward/__init__.py
@@ -0,0 +1,1 @@
+"""Dispatcher for sub-second tasks."""
--- /dev/null
+++ b/src/borageward/configuration/aggregate.py
@@ -0,0 +1,137 @@
+"""The configuration aggregate and the rules of its changes."""
+
+from __future__ import annotations
+
+import attrs
+import msgspec
+
+from borageward.configuration.limits import Limits
+from borageward.configuration.policy import ANY_KIND, Policy, Service
+from borageward.failures import Failure, FailureReason
+from borageward.messages import configuration as changes
+
+_LIMIT_NAMES = frozenset(attrs.fields_dict(Limits))
+
+
+@attrs.frozen(slots=True)
+class Configuration:
+    """Everything that operators decide; immutable, one value per revision."""
+
+    services: dict[str, Service]
+    policies: tuple[Policy, ...]
+    limits: Limits
+    approval_required: bool
+
+    def policy_for(self, service: str, kind: str) -> Policy | None:
+        """Return the policy of a kind, or that of all kinds, or nothing."""
+        fallback = None
+        for policy in self.policies:
+            if policy.service != service:
+                continue
+            if policy.kind == kind:
+                return policy
+            if policy.kind == ANY_KIND:
+                fallback = policy
+        return fallback
+
+    def apply(
+        self,
+        change: changes.ConfigurationChange,
+    ) -> Configuration | Failure:
+        """Return the changed configuration, or ``INVALID_CHANGE``."""
+        if isinstance(change, changes.Batch):
+            return self._apply_batch(change)
+        if isinstance(change, changes.SetApproval):
+            return attrs.evolve(self, approval_required=change.required)
+        if isinstance(change, changes.SetLimit):
+            return self._set_limit(change)
+        if isinstance(change, changes.SetPolicy | changes.RemovePolicy):
+            return self._change_policy(change)
+        return self._change_service(change)
+
+    def _apply_batch(self, batch: changes.Batch) -> Configuration | Failure:
+        current = self
+        for change in batch.changes:
+            changed = current.apply(change)
+            if isinstance(changed, Failure):
+                return changed
+            current = changed
+        return current
+
+    def _set_limit(self, change: changes.SetLimit) -> Configuration | Failure:
+        if change.name not in _LIMIT_NAMES:
+            return _invalid(f'unknown limit {change.name!r}')
+        if change.amount < 0:
+            return _invalid(f'limit {change.name!r} must not be negative')
+        kind = type(getattr(self.limits, change.name))
+        limits = attrs.evolve(
+            self.limits,
+            **{change.name: kind(change.amount)},
+        )
+        return attrs.evolve(self, limits=limits)
+
+    def _change_policy(
+        self,
+        change: changes.SetPolicy | changes.RemovePolicy,
+    ) -> Configuration | Failure:
+        if change.service not in self.services:
+            return _invalid(f'unknown service {change.service!r}')
+        key = (change.service, change.kind)
+        kept = tuple(
+            policy
+            for policy in self.policies
+            if (policy.service, policy.kind) != key
+        )
+        if isinstance(change, changes.SetPolicy):
+            policy = Policy(
+                change.service,
+                change.kind,
+                change.places,
+                change.workers,
+            )
+            return attrs.evolve(self, policies=(*kept, policy))
+        if len(kept) == len(self.policies):
+            return _invalid(f'no policy for {change.service} {change.kind}')
+        return attrs.evolve(self, policies=kept)
+
+    def _change_service(
+        self,
+        change: changes.SetService | changes.RemoveService,
+    ) -> Configuration | Failure:
+        services = dict(self.services)
+        if isinstance(change, changes.SetService):
+            services[change.name] = Service(
+                change.name,
+                change.quota_slots,
+                change.weight,
+                change.deadline_ms,
+            )
+            return attrs.evolve(self, services=services)
+        if services.pop(change.name, None) is None:
+            return _invalid(f'unknown service {change.name!r}')
+        kept = tuple(
+            policy for policy in self.policies if policy.service != change.name
+        )
+        return attrs.evolve(self, services=services, policies=kept)
+
+
+def initial_configuration() -> Configuration:
+    """Return the configuration of a new cluster, revision zero."""
+    return Configuration({}, (), Limits(), approval_required=False)
+
+
+def encode_configuration(configuration: Configuration) -> bytes:
+    """Return the canonical JSON of a configuration."""
+    return msgspec.json.encode(configuration, order='sorted')
+
+
+def decode_configuration(document: bytes) -> Configuration | Failure:
+    """Return the configuration of a JSON document."""
+    try:
+        return msgspec.json.decode(document, type=Configuration)
+    except msgspec.DecodeError as error:
+        return _invalid(str(error))
+
+
+def _invalid(detail: str) -> Failure:
+    return Failure(FailureReason.INVALID_CHANGE, detail)
--- /dev/null
+++ b/src/borageward/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Wire messages between the processes of the system."""
--- /dev/null
+++ b/src/borageward/telemetry/metrics.py
@@ -0,0 +1,37 @@
+"""Counters, gauges and timings sent to statsd."""
+
+from __future__ import annotations
+
+import statsd
+
+from borageward.clock import Milliseconds
+from borageward.transport.address import Address
+
+
+class Metrics:
+    """statsd client that does nothing without an address."""
+
+    def __init__(self, address: Address | None, prefix: str) -> None:
+        """Prepare the client; datagrams are sent without waiting."""
+        self._client: statsd.StatsClient | None = None
+        if address is not None:
+            self._client = statsd.StatsClient(
+                host=address.host,
+                port=address.port,
+                prefix=prefix,
+            )
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        if self._client is not None:
+            self._client.incr(name, amount)
+
+    def gauge(self, name: str, amount: float) -> None:
+        """Set a gauge."""
+        if self._client is not None:
+            self._client.gauge(name, amount)
+
+    def timing(self, name: str, duration_ms: Milliseconds) -> None:
+        """Report a duration in milliseconds."""
+        if self._client is not None:
+            self._client.timing(name, duration_ms)
