Add the daemon, a local deployment for tests and tours, and a judge

Cause: the roles need a process to run in, and claims about them need proof from the runners' journals and the callers' answers.

--- /dev/null
+++ b/src/borageward/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon ``boragewardd``."""
--- /dev/null
+++ b/src/borageward/daemon/process.py
@@ -0,0 +1,84 @@
+"""One process of the system: its roles, from start to graceful shutdown."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import AsyncIterable
+from typing import Protocol
+
+import trio
+
+from borageward.clock import SystemClock
+from borageward.daemon.roles import open_roles
+from borageward.failures import Failure, FailureReason
+from borageward.settings import Settings
+from borageward.telemetry import EventLog, open_log
+
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class Role(Protocol):
+    """A part of the process with its own life."""
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start the role's tasks in the nursery."""
+
+    async def close(self) -> None:
+        """Finish the accepted work and stop."""
+
+
+async def run_process(settings: Settings) -> Failure | None:
+    """Run the roles of the settings until a stop signal arrives."""
+    open_log(settings.log.path)
+    log = EventLog(place=settings.place, process=process_name(settings))
+    failure: Failure | None = None
+    with trio.open_signal_receiver(*_STOP_SIGNALS) as signals:
+        try:
+            await _run_roles(settings, log, signals)
+        except* OSError as group:
+            failure = Failure(
+                FailureReason.STORAGE_FAILED,
+                _first_line(group),
+            )
+    return failure
+
+
+def process_name(settings: Settings) -> str:
+    """Return the name of the process in logs: its roles and their names."""
+    names: list[str] = []
+    if settings.control is not None:
+        names.extend(('control', settings.control.voter_id))
+    if settings.entry is not None:
+        names.extend(('entry', settings.entry.name))
+    if settings.guard is not None:
+        names.extend(('guard', settings.guard.worker))
+    return '/'.join(names)
+
+
+async def _run_roles(
+    settings: Settings,
+    log: EventLog,
+    signals: AsyncIterable[int],
+) -> None:
+    async with trio.open_nursery() as nursery:
+        roles = open_roles(settings, SystemClock(), log)
+        for role in roles:
+            await role.start(nursery)
+        log.event('process_started')
+        await _first_signal(signals)
+        log.event('process_stopping')
+        for stopping in reversed(roles):
+            await stopping.close()
+        log.event('process_stopped')
+        nursery.cancel_scope.cancel()
+
+
+async def _first_signal(signals: AsyncIterable[int]) -> None:
+    await anext(aiter(signals))
+
+
+def _first_line(group: BaseExceptionGroup[OSError]) -> str:
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return str(error)
--- /dev/null
+++ b/src/borageward/daemon/roles.py
@@ -0,0 +1,73 @@
+"""Construction of the roles that the settings name.
+
+Imports are per role: a guard must not load what only other roles need.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from borageward.clock import Clock
+from borageward.settings import Settings
+from borageward.telemetry import EventLog, Metrics
+from borageward.transport import Address, parse_address
+
+if TYPE_CHECKING:
+    from borageward.daemon.process import Role
+
+
+def open_roles(settings: Settings, clock: Clock, log: EventLog) -> list[Role]:
+    """Return the roles of a process in the order of their start."""
+    roles: list[Role] = []
+    if settings.control is not None:
+        roles.append(_open_control(settings, clock, log))
+    if settings.guard is not None:
+        roles.append(_open_guard(settings, clock, log))
+    if settings.entry is not None:
+        roles.append(_open_entry(settings, clock, log))
+    return roles
+
+
+def open_metrics(settings: Settings) -> Metrics:
+    """Return the metrics client of the settings."""
+    address = parse_address(settings.metrics.address)
+    if isinstance(address, Address):
+        return Metrics(address, 'borageward')
+    return Metrics(None, 'borageward')
+
+
+def _open_control(settings: Settings, clock: Clock, log: EventLog) -> Role:
+    from borageward.control import ControlService  # noqa: WPS433
+
+    assert settings.control is not None  # noqa: S101 Checked by the caller.
+    return ControlService(settings.control, clock, log)
+
+
+def _open_guard(settings: Settings, clock: Clock, log: EventLog) -> Role:
+    from borageward.guard import GuardService  # noqa: WPS433
+    from borageward.policy.class_scheduler import (  # noqa: WPS433
+        ClassSlotScheduler,
+    )
+
+    assert settings.guard is not None  # noqa: S101 Checked by the caller.
+    scheduler = ClassSlotScheduler(settings.guard.slots)
+    return GuardService(settings.guard, settings.place, clock, log, scheduler)
+
+
+def _open_entry(settings: Settings, clock: Clock, log: EventLog) -> Role:
+    from borageward.entry import EntryService  # noqa: WPS433
+    from borageward.policy.adaptive_dispatch import (  # noqa: WPS433
+        AdaptiveDispatchPolicy,
+    )
+
+    assert settings.entry is not None  # noqa: S101 Checked by the caller.
+    policy = AdaptiveDispatchPolicy(settings.place, random.Random())
+    return EntryService(
+        settings.entry,
+        settings.place,
+        clock,
+        log,
+        open_metrics(settings),
+        policy,
+    )
--- /dev/null
+++ b/standins/relay.py
@@ -0,0 +1,98 @@
+"""A TCP relay on loopback that can be cut, also in one direction."""
+
+from __future__ import annotations
+
+import socket
+import threading
+
+_CHUNK_BYTES = 65_536
+_POLL_S = 0.02
+
+
+class Relay:
+    """Forwards connections to a target until it is cut.
+
+    A cut relay keeps its connections open and forwards nothing, as a silent
+    partition does; held bytes go on after ``mend``.
+    """
+
+    def __init__(self, target: str) -> None:
+        """Prepare a relay to an address."""
+        host, _separator, port = target.rpartition(':')
+        self._target = (host, int(port))
+        self._forward = threading.Event()
+        self._backward = threading.Event()
+        self._closed = threading.Event()
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self._listener.settimeout(_POLL_S)
+
+    @property
+    def address(self) -> str:
+        """Return the address that the relay listens on."""
+        host, port = self._listener.getsockname()
+        return f'{host}:{port}'
+
+    def start(self) -> None:
+        """Start to accept and forward."""
+        self.mend()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def cut(self, forward: bool = True, backward: bool = True) -> None:
+        """Stop forwarding in one or both directions."""
+        if forward:
+            self._forward.clear()
+        if backward:
+            self._backward.clear()
+
+    def mend(self) -> None:
+        """Forward again in both directions."""
+        self._forward.set()
+        self._backward.set()
+
+    def close(self) -> None:
+        """End the relay and its connections."""
+        self._closed.set()
+        self.mend()
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while not self._closed.is_set():
+            try:
+                caller, _address = self._listener.accept()
+            except TimeoutError:
+                continue
+            except OSError:
+                return
+            self._connect(caller)
+
+    def _connect(self, caller: socket.socket) -> None:
+        try:
+            target = socket.create_connection(self._target)
+        except OSError:
+            caller.close()
+            return
+        pairs = (
+            (caller, target, self._forward),
+            (target, caller, self._backward),
+        )
+        for pair in pairs:
+            threading.Thread(target=self._copy, args=pair, daemon=True).start()
+
+    def _copy(
+        self,
+        source: socket.socket,
+        sink: socket.socket,
+        allowed: threading.Event,
+    ) -> None:
+        try:
+            while not self._closed.is_set():
+                chunk = source.recv(_CHUNK_BYTES)
+                allowed.wait()
+                if not chunk:
+                    break
+                sink.sendall(chunk)
+        except OSError:
+            return
+        finally:
+            source.close()
+            sink.close()
--- /dev/null
+++ b/tests/standins/test_judge.py
@@ -0,0 +1,64 @@
+"""The judge finds each kind of violation in a hand-made run."""
+
+from __future__ import annotations
+
+import types
+
+import pytest
+
+from standins.judge import Exchange, find_violations
+
+_BODY = types.MappingProxyType({'id': 'a', 'tasks': ({}, {})})
+_COMPLETE = types.MappingProxyType(
+    {
+        'id': 'a',
+        'state': 'complete',
+        'results': ({'index': 0}, {'index': 1}),
+    }
+)
+_BOTH = (('a', 0), ('a', 1))
+
+
+@pytest.mark.parametrize(
+    ('journal', 'answer', 'expected'),
+    [
+        (_BOTH, _COMPLETE, []),
+        ([*_BOTH, ('a', 1)], _COMPLETE, ['started more than once']),
+        ([('a', 0)], _COMPLETE, ['answered, not started']),
+        (
+            _BOTH,
+            {**_COMPLETE, 'results': [{'index': 0}]},
+            ['answer is partial'],
+        ),
+        (_BOTH, {**_COMPLETE, 'id': 'b'}, ['answer to another request']),
+        (
+            [('a', 1)],
+            {
+                'id': 'a',
+                'state': 'failed',
+                'run_state': 'may_have_run',
+                'tasks': [{'index': 1, 'run_state': 'not_run'}],
+            },
+            ['not_run, but started'],
+        ),
+        (
+            [('a', 0)],
+            {'id': 'a', 'state': 'refused', 'run_state': 'not_run'},
+            ['not_run, but started'],
+        ),
+        (
+            [],
+            {
+                'id': 'a',
+                'state': 'failed',
+                'run_state': 'may_have_run',
+                'results': [],
+            },
+            ['failed answer carries results'],
+        ),
+    ],
+)
+def test_judge_reports_violations(journal, answer, expected):
+    """Guards against a judge that passes a broken run."""
+    found = find_violations(journal, [Exchange(_BODY, answer)])
+    assert [violation.invariant for violation in found] == expected
