Add the control service with its replicated state

Cause: entries, guards and operators need a control process to connect to. Change: claims, members, revisions, leases, linearizable reads and both transports, over a log that one replica keeps in memory for now.

--- /dev/null
+++ b/src/borageward/control/service/__init__.py
@@ -0,0 +1,7 @@
+"""Service of one control replica."""
+
+from __future__ import annotations
+
+from borageward.control.service.service import ControlService
+
+__all__ = ('ControlService',)
--- /dev/null
+++ b/src/borageward/control/service/reads.py
@@ -0,0 +1,113 @@
+"""Reads of the state through a leader that confirmed its majority."""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+import trio
+
+from borageward.clock import Clock
+from borageward.control.service.leases import LeaseTable
+from borageward.control.service.replica import LogReplica
+from borageward.failures import Failure, FailureReason
+from borageward.messages.control import (
+    Claimed,
+    ConfigurationRead,
+    FindClaims,
+    GuardsSince,
+    History,
+    InForce,
+    Membership,
+    ReadConfiguration,
+    ReadHistory,
+    ReadInForce,
+    Watch,
+)
+
+ReadRequest: TypeAlias = (
+    FindClaims
+    | GuardsSince
+    | ReadConfiguration
+    | ReadHistory
+    | ReadInForce
+    | Watch
+)
+ReadReply: TypeAlias = (
+    Claimed | Membership | ConfigurationRead | History | InForce
+)
+
+_MAX_WAIT_MS = 60_000.0
+_MAX_HISTORY = 1000
+_MS_PER_SECOND = 1000.0
+
+
+class Reader:
+    """Answers reads with everything that was acknowledged before them."""
+
+    def __init__(
+        self,
+        replica: LogReplica,
+        leases: LeaseTable,
+        clock: Clock,
+    ) -> None:
+        """Prepare to read from one replica of the log."""
+        self._replica = replica
+        self._leases = leases
+        self._clock = clock
+
+    async def read(self, request: ReadRequest) -> ReadReply | Failure:
+        """Return the reply, or why this replica cannot answer."""
+        unconfirmed = await self._replica.confirm()
+        if unconfirmed is not None:
+            return unconfirmed
+        if isinstance(request, Watch):
+            return await self._watch(request)
+        if isinstance(request, FindClaims | GuardsSince):
+            return self._read_work(request)
+        return self._read_configuration(request)
+
+    def _read_work(
+        self,
+        request: FindClaims | GuardsSince,
+    ) -> Claimed | Membership:
+        machine = self._replica.machine
+        if isinstance(request, GuardsSince):
+            return machine.members.guards_since(request.position)
+        return Claimed(
+            tuple(machine.claims.find(job_id) for job_id in request.job_ids),
+        )
+
+    def _read_configuration(
+        self,
+        request: ReadConfiguration | ReadHistory | ReadInForce,
+    ) -> ConfigurationRead | History | InForce | Failure:
+        revisions = self._replica.machine.revisions
+        if isinstance(request, ReadInForce):
+            return self._leases.in_force(request.revision)
+        if isinstance(request, ReadHistory):
+            return History(revisions.history(min(request.limit, _MAX_HISTORY)))
+        revision = request.revision or revisions.revision
+        document = revisions.document(revision)
+        if document is None:
+            return Failure(
+                FailureReason.INVALID_REQUEST,
+                f'revision {revision} is not kept',
+            )
+        return ConfigurationRead(revision, document)
+
+    async def _watch(self, request: Watch) -> Membership | Failure:
+        wait_ms = min(max(0, request.wait_ms), _MAX_WAIT_MS)
+        term = self._replica.leader_term
+        with trio.move_on_after(wait_ms / _MS_PER_SECOND):
+            await self._wait_for_change(request.after_version, term)
+        unconfirmed = await self._replica.confirm()
+        if unconfirmed is not None:
+            return unconfirmed
+        members = self._replica.machine.members
+        return members.changes_after(request.after_version)
+
+    async def _wait_for_change(self, version: int, term: int) -> None:
+        while self._replica.leader_term == term:
+            if self._replica.machine.members.version != version:
+                return
+            await self._replica.changed.wait()
--- /dev/null
+++ b/src/borageward/control/state/__init__.py
@@ -0,0 +1,7 @@
+"""Replicated state of the control log."""
+
+from __future__ import annotations
+
+from borageward.control.state.machine import StateMachine, StateReply
+
+__all__ = ('StateMachine', 'StateReply')
--- a/src/borageward/failures/failure.py
+++ b/src/borageward/failures/failure.py
@@ -64,6 +64,7 @@
     LINK_BROKEN = 'link_broken'
     MALFORMED_MESSAGE = 'malformed_message'
     STORAGE_FAILED = 'storage_failed'
+    DISK_FULL = 'disk_full'
     # Access.
     UNAUTHENTICATED = 'unauthenticated'
     FORBIDDEN = 'forbidden'
