Check settings as a whole and report every problem

Cause: the reader stopped at the first problem, ignored unknown keys and checked neither ranges nor addresses.

Change: ranges and descriptions are annotations of the settings classes. The JSON schema, the reference page and the check are derived from them; rules between values (addresses, clashes, voters, leases, TLS files) follow. read_settings returns Settings or InvalidSettings, a Failure that lists all problems with their JSON paths.

--- /dev/null
+++ b/src/borageward/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/borageward/cli/reference.py
@@ -0,0 +1,26 @@
+"""Writes the generated reference files."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+
+from borageward.settings.reference import reference_page, schema_text
+
+
+def reference_files() -> dict[str, str]:
+    """Return the text of each generated file by its name under docs/."""
+    return {
+        'settings.schema.json': schema_text(),
+        'settings.md': reference_page(),
+    }
+
+
+def write_reference(folder: pathlib.Path) -> None:
+    """Write all generated files into a folder."""
+    for name, text in reference_files().items():
+        (folder / name).write_text(text, encoding='utf-8')
+
+
+if __name__ == '__main__':
+    write_reference(pathlib.Path(sys.argv[1]))
--- a/src/borageward/settings/__init__.py
+++ b/src/borageward/settings/__init__.py
@@ -13,17 +13,21 @@
     TlsSettings,
     VoterAddress,
 )
-from borageward.settings.reader import read_settings
+from borageward.settings.problem import InvalidSettings, SettingsProblem
+from borageward.settings.reader import parse_settings, read_settings
 
 __all__ = (
     'ControlAddress',
     'ControlSettings',
     'EntrySettings',
     'GuardSettings',
+    'InvalidSettings',
     'LogSettings',
     'MetricsSettings',
     'Settings',
+    'SettingsProblem',
     'TlsSettings',
     'VoterAddress',
+    'parse_settings',
     'read_settings',
 )
--- a/src/borageward/settings/document.py
+++ b/src/borageward/settings/document.py
@@ -1,115 +1,227 @@
-"""Typed form of the settings document."""
+"""Typed form of the settings document.
+
+The annotations are the only source of the types, ranges and descriptions; the
+check, the JSON schema and the reference page are derived from them.
+"""
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import attrs
+from msgspec import Meta
+
+from borageward.settings import values as kinds
 
 
 @attrs.frozen(slots=True)
 class LogSettings:
-    """Where log lines go; an empty path means standard error."""
+    """Where log lines go."""
 
-    path: str = ''
-    level: str = 'info'
+    path: Annotated[
+        str, Meta(description='Log file; empty means standard error.')
+    ] = ''
+    level: Annotated[
+        kinds.LogLevel, Meta(description='Lowest level that is written.')
+    ] = 'info'
 
 
 @attrs.frozen(slots=True)
 class MetricsSettings:
-    """Address of the statsd collector; empty turns metrics off."""
+    """Where metrics go."""
 
-    address: str = ''
+    address: Annotated[
+        str,
+        Meta(description='Address of the statsd collector; empty sends none.'),
+    ] = ''
 
 
 @attrs.frozen(slots=True)
 class TlsSettings:
-    """Files of the mutual TLS identity; ``mode`` is ``mutual`` or ``off``."""
-
-    mode: str
-    certificate: str = ''
-    private_key: str = ''
-    authority: str = ''
+    """Files of the process's mutual TLS identity."""
+
+    mode: Annotated[
+        kinds.TlsMode,
+        Meta(description='`mutual` in production; `off` sends plain text.'),
+    ]
+    certificate: Annotated[
+        str, Meta(description='PEM file of the certificate chain.')
+    ] = ''
+    private_key: Annotated[
+        str, Meta(description='PEM file of the private key.')
+    ] = ''
+    authority: Annotated[
+        str, Meta(description='PEM file of the trusted authorities.')
+    ] = ''
 
 
 @attrs.frozen(slots=True)
 class ControlAddress:
-    """Addresses of one control replica.
+    """Addresses of one control replica."""
 
-    ``address`` serves entries, operators and other replicas by gRPC,
-    ``member_address`` serves guards by frames.
-    """
-
-    address: str
-    member_address: str
+    address: Annotated[
+        kinds.AddressText,
+        Meta(description='gRPC address for entries, operators and replicas.'),
+    ]
+    member_address: Annotated[
+        kinds.AddressText, Meta(description='Frame address for guards.')
+    ]
 
 
 @attrs.frozen(slots=True)
 class VoterAddress:
     """One initial voter of the control log."""
 
-    voter_id: str
-    address: str
-    member_address: str
+    voter_id: Annotated[
+        kinds.Name, Meta(description='Identity of the voter, never reused.')
+    ]
+    address: Annotated[
+        kinds.AddressText, Meta(description='gRPC address of the voter.')
+    ]
+    member_address: Annotated[
+        kinds.AddressText, Meta(description='Frame address of the voter.')
+    ]
 
 
 @attrs.frozen(slots=True)
 class ControlSettings:
     """Settings of the control role."""
 
-    voter_id: str
-    data_folder: str
-    address: str
-    member_address: str
-    voters: tuple[VoterAddress, ...]
-    election_timeout_ms: int = 500
-    append_interval_ms: int = 100
-    entry_lease_ms: int = 1500
-    guard_lease_ms: int = 3000
-    claim_retention_ms: int = 600_000
-    clock_skew_ms: int = 30_000
-    snapshot_entries: int = 10_000
-    join_as_learner: bool = False
+    voter_id: Annotated[
+        kinds.Name, Meta(description='Identity of this replica.')
+    ]
+    data_folder: Annotated[
+        kinds.Folder, Meta(description='Folder of the log and snapshots.')
+    ]
+    address: Annotated[
+        kinds.AddressText, Meta(description='gRPC address to listen on.')
+    ]
+    member_address: Annotated[
+        kinds.AddressText, Meta(description='Frame address to listen on.')
+    ]
+    voters: Annotated[
+        tuple[VoterAddress, ...],
+        Meta(
+            description='Initial voters: 1, 3 or 5, the same in each file.',
+            min_length=1,
+        ),
+    ]
+    election_timeout_ms: Annotated[
+        kinds.IntervalMs,
+        Meta(description='Silence of the leader before an election.'),
+    ] = 500
+    append_interval_ms: Annotated[
+        kinds.IntervalMs, Meta(description='Interval of leader heartbeats.')
+    ] = 100
+    entry_lease_ms: Annotated[
+        kinds.IntervalMs,
+        Meta(description='Silence after which an entry is ended.'),
+    ] = 1500
+    guard_lease_ms: Annotated[
+        kinds.IntervalMs,
+        Meta(description='Silence after which a guard is ended.'),
+    ] = 3000
+    claim_retention_ms: Annotated[
+        kinds.RetentionMs, Meta(description='How long claims are kept.')
+    ] = 600_000
+    clock_skew_ms: Annotated[
+        kinds.IntervalMs,
+        Meta(description='Largest difference of wall clocks allowed.'),
+    ] = 30_000
+    snapshot_entries: Annotated[
+        kinds.EntryCount, Meta(description='Log entries between snapshots.')
+    ] = 10_000
+    join_as_learner: Annotated[
+        bool,
+        Meta(description='Join an existing cluster without a vote.'),
+    ] = False
 
 
 @attrs.frozen(slots=True)
 class EntrySettings:
-    """Settings of the entry role.
-
-    ``http_address`` serves callers, ``link_address`` serves other entries.
-    """
-
-    name: str
-    http_address: str
-    link_address: str
-    control: tuple[ControlAddress, ...]
-    heartbeat_interval_ms: int = 300
-    guard_subset_size: int = 64
-    claim_batch_wait_ms: float = 0
+    """Settings of the entry role."""
+
+    name: Annotated[
+        kinds.Name, Meta(description='Name of the entry in logs and answers.')
+    ]
+    http_address: Annotated[
+        kinds.AddressText, Meta(description='HTTP address for callers.')
+    ]
+    link_address: Annotated[
+        kinds.AddressText,
+        Meta(description='Frame address that other entries dial.'),
+    ]
+    control: Annotated[
+        tuple[ControlAddress, ...],
+        Meta(description='The control replicas.', min_length=1),
+    ]
+    heartbeat_interval_ms: Annotated[
+        kinds.IntervalMs, Meta(description='Interval of heartbeats.')
+    ] = 300
+    guard_subset_size: Annotated[
+        kinds.GuardCount, Meta(description='Guards that the entry links to.')
+    ] = 64
+    claim_batch_wait_ms: Annotated[
+        kinds.BatchWaitMs,
+        Meta(description='Wait for more claims before one is sent.'),
+    ] = 0
 
 
 @attrs.frozen(slots=True)
 class GuardSettings:
-    """Settings of the guard role; ``runner_address`` is its endpoint."""
-
-    worker: str
-    service: str
-    link_address: str
-    runner_address: str
-    control: tuple[ControlAddress, ...]
-    slots: int = 8
-    heartbeat_interval_ms: int = 1000
-    result_retention_ms: int = 30_000
-    max_result_bytes: int = 2_097_152
+    """Settings of the guard role."""
+
+    worker: Annotated[
+        kinds.Name, Meta(description='Machine that the runner is on.')
+    ]
+    service: Annotated[
+        kinds.Name, Meta(description='Service that the runner belongs to.')
+    ]
+    link_address: Annotated[
+        kinds.AddressText,
+        Meta(description='Frame address that entries dial.'),
+    ]
+    runner_address: Annotated[
+        kinds.AddressText, Meta(description='HTTP address of the runner.')
+    ]
+    control: Annotated[
+        tuple[ControlAddress, ...],
+        Meta(description='The control replicas.', min_length=1),
+    ]
+    slots: Annotated[
+        kinds.SlotCount, Meta(description='Tasks that may run at once.')
+    ] = 8
+    heartbeat_interval_ms: Annotated[
+        kinds.IntervalMs, Meta(description='Interval of heartbeats.')
+    ] = 1000
+    result_retention_ms: Annotated[
+        kinds.IntervalMs,
+        Meta(description='How long acknowledged results are kept.'),
+    ] = 30_000
+    max_result_bytes: Annotated[
+        kinds.ResultBytes, Meta(description='Limit of all results kept.')
+    ] = 2_097_152
 
 
 @attrs.frozen(slots=True)
 class Settings:
     """Settings of one process; a role runs when its section is present."""
 
-    region: str
-    place: str
-    tls: TlsSettings
-    log: LogSettings = LogSettings()
-    metrics: MetricsSettings = MetricsSettings()
-    control: ControlSettings | None = None
-    entry: EntrySettings | None = None
-    guard: GuardSettings | None = None
+    region: Annotated[kinds.Name, Meta(description='Region of the process.')]
+    place: Annotated[
+        kinds.Name, Meta(description='Availability zone of the process.')
+    ]
+    tls: Annotated[TlsSettings, Meta(description='Transport security.')]
+    log: Annotated[LogSettings, Meta(description='Event log.')] = LogSettings()
+    metrics: Annotated[MetricsSettings, Meta(description='Metrics.')] = (
+        MetricsSettings()
+    )
+    control: Annotated[
+        ControlSettings | None, Meta(description='Role `control`.')
+    ] = None
+    entry: Annotated[
+        EntrySettings | None, Meta(description='Role `entry`.')
+    ] = None
+    guard: Annotated[
+        GuardSettings | None, Meta(description='Role `guard`.')
+    ] = None
--- /dev/null
+++ b/src/borageward/settings/problem.py
@@ -0,0 +1,43 @@
+"""Problems found in a settings document."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import attrs
+
+from borageward.failures import Failure, FailureReason
+
+
+@attrs.frozen(slots=True)
+class SettingsProblem:
+    """One problem and the JSON path where it is."""
+
+    path: str
+    detail: str
+
+    def __str__(self) -> str:
+        """Return the problem on one line."""
+        return f'{self.path}: {self.detail}'
+
+
+@attrs.frozen(slots=True)
+class InvalidSettings(Failure):
+    """Failure of reading settings; lists every problem of the document."""
+
+    problems: tuple[SettingsProblem, ...] = ()
+
+    @classmethod
+    def of(
+        cls,
+        source: str,
+        problems: Iterable[SettingsProblem],
+    ) -> InvalidSettings:
+        """Return the failure with all problems in its one-line detail."""
+        listed = tuple(problems)
+        summary = '; '.join(str(problem) for problem in listed)
+        return cls(
+            FailureReason.INVALID_REQUEST,
+            f'{source}: {summary}',
+            problems=listed,
+        )
--- a/src/borageward/settings/reader.py
+++ b/src/borageward/settings/reader.py
@@ -2,25 +2,48 @@
 
 from __future__ import annotations
 
+import json
 import pathlib
 
 import msgspec
 
-from borageward.failures import Failure, FailureReason
 from borageward.settings.document import Settings
+from borageward.settings.problem import InvalidSettings, SettingsProblem
+from borageward.settings.rules import check_rules
+from borageward.settings.shape import check_shape
+from borageward.settings.syntax import JsonObject
 
 
-def read_settings(path: pathlib.Path) -> Settings | Failure:
-    """Read a settings file, or return ``INVALID_REQUEST`` with the reason."""
+def read_settings(path: pathlib.Path) -> Settings | InvalidSettings:
+    """Read a settings file, or return all problems found in it."""
     try:
-        document = path.read_bytes()
+        text = path.read_text(encoding='utf-8')
     except OSError as error:
-        return _invalid(f'{path}: {error.strerror}')
-    try:
-        return msgspec.json.decode(document, type=Settings)
-    except msgspec.DecodeError as error:
-        return _invalid(f'{path}: {error}')
+        return _unreadable(path, error.strerror or 'cannot be read')
+    except UnicodeDecodeError:
+        return _unreadable(path, 'not UTF-8')
+    return parse_settings(text, str(path))
 
 
-def _invalid(detail: str) -> Failure:
-    return Failure(FailureReason.INVALID_REQUEST, detail)
+def parse_settings(text: str, source: str) -> Settings | InvalidSettings:
+    """Check a JSON text; ``source`` names it in the failure."""
+    try:
+        document = json.loads(text, object_pairs_hook=JsonObject)
+    except json.JSONDecodeError as error:
+        detail = f'line {error.lineno} column {error.colno}: {error.msg}'
+        return InvalidSettings.of(source, (SettingsProblem('$', detail),))
+    except RecursionError:
+        problem = SettingsProblem('$', 'nested too deeply')
+        return InvalidSettings.of(source, (problem,))
+    problems = check_shape(document)
+    if problems:
+        return InvalidSettings.of(source, problems)
+    settings = msgspec.convert(document, Settings)
+    broken_rules = check_rules(settings)
+    if broken_rules:
+        return InvalidSettings.of(source, broken_rules)
+    return settings
+
+
+def _unreadable(path: pathlib.Path, detail: str) -> InvalidSettings:
+    return InvalidSettings.of(str(path), (SettingsProblem('$', detail),))
