--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the product."""
--- /dev/null
+++ b/src/borageward/guard/admission.py
@@ -0,0 +1,145 @@
+"""Admission of starts: accept each task, or refuse it with a reason."""
+
+from __future__ import annotations
+
+import attrs
+
+from borageward.clock import Milliseconds
+from borageward.failures import Failure, FailureReason
+from borageward.guard.ledger import JobRecord
+from borageward.guard.link import EntryLink
+from borageward.guard.state import GuardState
+from borageward.guard.tasks import AcceptedTask
+from borageward.messages.guard import StartTasks, TasksRefused
+from borageward.messages.task import TaskSpec
+from borageward.policy.scheduler import GuardTask
+
+
+@attrs.define(slots=True)
+class _Refusals:
+    """Refused indexes of one message by reason and attempt."""
+
+    indexes: dict[tuple[FailureReason, int], list[int]] = attrs.field(
+        factory=dict,
+    )
+
+    def add(self, spec: TaskSpec, reason: FailureReason) -> None:
+        key = (reason, spec.attempt)
+        self.indexes.setdefault(key, []).append(spec.index)
+
+
+class Admission:
+    """Handles ``StartTasks``; each task of a job starts at most once."""
+
+    def __init__(self, state: GuardState) -> None:
+        """Prepare admission to the slots of a guard."""
+        self._state = state
+
+    def start(self, link: EntryLink, message: StartTasks) -> None:
+        """Accept or refuse the tasks of a message from a link."""
+        record = self._state.ledger.read(message.job_id)
+        refusals = _Refusals()
+        if self._fenced(record, message.incarnation):
+            self._refuse_fenced(record, message, refusals)
+        else:
+            self._admit_all(link, record, message, refusals)
+            self._state.ledger.write(message.job_id, record)
+        self._post_refusals(link, message, refusals)
+
+    def _fenced(self, record: JobRecord, incarnation: int) -> bool:
+        if self._state.fences.blocks(incarnation):
+            return True
+        return incarnation in record.former
+
+    def _refuse_fenced(
+        self,
+        record: JobRecord,
+        message: StartTasks,
+        refusals: _Refusals,
+    ) -> None:
+        for spec in message.tasks:
+            held = self._state.tasks.find((message.job_id, spec.index))
+            # A task that its former owner started is not "not run".
+            if held is None and spec.index not in record.started:
+                refusals.add(spec, FailureReason.INCARNATION_FENCED)
+
+    def _admit_all(
+        self,
+        link: EntryLink,
+        record: JobRecord,
+        message: StartTasks,
+        refusals: _Refusals,
+    ) -> None:
+        self._state.adopt(message.job_id, record, message.incarnation)
+        for held in self._state.tasks.of_job(message.job_id):
+            held.link = link
+        now_ms = self._state.clock.now_ms()
+        for spec in message.tasks:
+            key = (message.job_id, spec.index)
+            if self._state.tasks.find(key) is not None:
+                continue
+            if spec.index in record.started:
+                link.push(key)
+                continue
+            refused = self._offer(link, record, message, spec, now_ms)
+            if refused is not None:
+                record.raise_floor(spec.index, spec.attempt)
+                refusals.add(spec, refused.reason)
+
+    def _offer(
+        self,
+        link: EntryLink,
+        record: JobRecord,
+        message: StartTasks,
+        spec: TaskSpec,
+        now_ms: Milliseconds,
+    ) -> Failure | None:
+        if not record.may_start(spec.index, spec.attempt):
+            return Failure(FailureReason.WITHDRAWN)
+        refused = self._state.refusal()
+        if refused is not None:
+            return refused
+        if message.remaining_ms <= 0:
+            return Failure(FailureReason.DEADLINE_EXCEEDED)
+        task = _guard_task(message, spec, now_ms)
+        refused = self._state.scheduler.offer(task, now_ms)
+        if refused is None:
+            self._state.tasks.add(
+                AcceptedTask(task, message.incarnation, spec.attempt, link),
+            )
+        return refused
+
+    def _post_refusals(
+        self,
+        link: EntryLink,
+        message: StartTasks,
+        refusals: _Refusals,
+    ) -> None:
+        for (reason, attempt), indexes in refusals.indexes.items():
+            link.post(
+                TasksRefused(
+                    message.job_id,
+                    tuple(indexes),
+                    attempt,
+                    reason,
+                    self._state.load(),
+                ),
+            )
+
+
+def _guard_task(
+    message: StartTasks,
+    spec: TaskSpec,
+    now_ms: Milliseconds,
+) -> GuardTask:
+    return GuardTask(
+        job_id=message.job_id,
+        index=spec.index,
+        service=message.service,
+        kind=spec.kind,
+        payload=spec.payload,
+        urgent=message.urgent,
+        run_class=spec.run_class,
+        expected_ms=spec.expected_ms,
+        deadline_ms=now_ms + message.remaining_ms,
+    )
--- /dev/null
+++ b/src/borageward/guard/runnerclient.py
@@ -0,0 +1,141 @@
+"""Client of the runner: ``POST /run`` and ``GET /status``."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import trio
+
+from borageward.failures import Failure, FailureReason, RunState
+from borageward.guard.runnerconnection import HttpReply, RunnerConnection
+from borageward.identity import format_job_id
+from borageward.messages.task import TaskOutcome
+from borageward.policy.scheduler import GuardTask
+
+_CONNECT_TIMEOUT_S = 1.0
+_STATUS_TIMEOUT_S = 1.0
+_MAX_IDLE_CONNECTIONS = 16
+_MAX_DETAIL_CHARACTERS = 1000
+_OK = 200
+_TASK_FAILED = 422
+
+RunnerConnector = Callable[[], Awaitable[trio.abc.Stream]]
+
+
+class _RunRequest(msgspec.Struct):
+    """Body of ``POST /run``."""
+
+    job: str
+    task: int
+    kind: str
+    payload: msgspec.Raw
+
+
+class _RunReply(msgspec.Struct):
+    """Body of a success."""
+
+    result: msgspec.Raw
+
+
+class _RunError(msgspec.Struct):
+    """Body of a task failure."""
+
+    error: str
+
+
+class RunnerClient:
+    """Keeps persistent connections to one runner."""
+
+    def __init__(self, connect: RunnerConnector, host: str) -> None:
+        """Prepare a client; ``connect`` raises ``OSError`` on failure."""
+        self._connect = connect
+        self._host = host
+        self._idle: list[RunnerConnection] = []
+
+    async def acquire(self) -> RunnerConnection | Failure:
+        """Return a connection, or ``RUNNER_UNREACHABLE``."""
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.reusable:
+                return connection
+            await connection.close()
+        try:
+            with trio.fail_after(_CONNECT_TIMEOUT_S):
+                return RunnerConnection(await self._connect(), self._host)
+        except (OSError, trio.TooSlowError, trio.BrokenResourceError) as error:
+            return Failure(FailureReason.RUNNER_UNREACHABLE, str(error))
+
+    async def give_back(self, connection: RunnerConnection) -> None:
+        """Keep a connection for reuse, or close it."""
+        if connection.reusable and len(self._idle) < _MAX_IDLE_CONNECTIONS:
+            self._idle.append(connection)
+        else:
+            await connection.close()
+
+    async def run(
+        self,
+        connection: RunnerConnection,
+        task: GuardTask,
+    ) -> TaskOutcome:
+        """Run a task; every failure but the task's own may have run."""
+        request = _RunRequest(
+            format_job_id(task.job_id),
+            task.index,
+            task.kind,
+            msgspec.Raw(task.payload or b'null'),
+        )
+        body = msgspec.json.encode(request)
+        reply = await connection.exchange('POST', '/run', body)
+        if isinstance(reply, Failure):
+            return failed_outcome(task.index, reply.detail)
+        return _outcome(task.index, reply)
+
+    async def answers(self) -> bool:
+        """Tell whether the runner answers its status."""
+        connection = await self.acquire()
+        if isinstance(connection, Failure):
+            return False
+        with trio.move_on_after(_STATUS_TIMEOUT_S):
+            reply = await connection.exchange('GET', '/status')
+            await self.give_back(connection)
+            return isinstance(reply, HttpReply) and reply.status == _OK
+        await connection.close()
+        return False
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            await self._idle.pop().close()
+
+
+def failed_outcome(index: int, detail: str) -> TaskOutcome:
+    """Return the outcome of a task whose runner failed after the start."""
+    return TaskOutcome(
+        index,
+        reason=FailureReason.RUNNER_FAILED,
+        run_state=RunState.MAY_HAVE_RUN,
+        detail=detail[:_MAX_DETAIL_CHARACTERS],
+    )
+
+
+def _outcome(index: int, reply: HttpReply) -> TaskOutcome:
+    try:
+        return _decode(index, reply)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return failed_outcome(index, f'malformed reply: {error}')
+
+
+def _decode(index: int, reply: HttpReply) -> TaskOutcome:
+    if reply.status == _OK:
+        success = msgspec.json.decode(reply.body, type=_RunReply)
+        return TaskOutcome(index, result=bytes(success.result))
+    if reply.status == _TASK_FAILED:
+        failure = msgspec.json.decode(reply.body, type=_RunError)
+        return TaskOutcome(
+            index,
+            reason=FailureReason.TASK_FAILED,
+            run_state=RunState.RAN,
+            detail=failure.error[:_MAX_DETAIL_CHARACTERS],
+        )
+    return failed_outcome(index, f'the runner answered {reply.status}')
--- /dev/null
+++ b/src/borageward/guard/runnerconnection.py
@@ -0,0 +1,135 @@
+"""One HTTP/1.1 connection to the runner."""
+
+from __future__ import annotations
+
+import select
+
+import attrs
+import h11
+import trio
+
+from borageward.failures import Failure, FailureReason, RunState
+
+MAX_RESPONSE_BYTES = 1_048_576
+
+_READ_BYTES = 65_536
+
+
+@attrs.frozen(slots=True)
+class HttpReply:
+    """Status code and body of a response."""
+
+    status: int
+    body: bytes
+
+
+class _ResponseTooLarge(Exception):
+    """The response exceeds the bound."""
+
+
+_BROKEN = (
+    OSError,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+    h11.ProtocolError,
+    _ResponseTooLarge,
+)
+
+
+class RunnerConnection:
+    """Persistent connection that carries one exchange at a time."""
+
+    def __init__(self, stream: trio.abc.Stream, host: str) -> None:
+        """Wrap a stream to the runner."""
+        self._stream = stream
+        self._host = host
+        self._protocol = h11.Connection(h11.CLIENT)
+        self._status = 0
+        self._body = bytearray()
+
+    @property
+    def reusable(self) -> bool:
+        """Tell whether another exchange may use the connection."""
+        if self._protocol.our_state is not h11.IDLE:
+            return False
+        # An idle connection that has input was closed by the runner.
+        socket = getattr(self._stream, 'socket', None)
+        if socket is None:
+            return True
+        poll = select.poll()
+        poll.register(socket.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    async def exchange(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b'',
+    ) -> HttpReply | Failure:
+        """Send a request and return the reply.
+
+        After a failure the request may have been processed.
+        """
+        try:
+            await self._send(method, target, body)
+            return await self._receive()
+        except _BROKEN as error:
+            return Failure(
+                FailureReason.RUNNER_FAILED,
+                f'{type(error).__name__}: {error}',
+                RunState.MAY_HAVE_RUN,
+            )
+
+    async def drain(self) -> None:
+        """Wait until the pending response has arrived or the link ended."""
+        try:
+            await self._receive()
+        except _BROKEN:
+            await self.close()
+
+    async def close(self) -> None:
+        """Close the connection at once."""
+        await trio.aclose_forcefully(self._stream)
+
+    async def _send(self, method: str, target: str, body: bytes) -> None:
+        headers = [
+            ('Host', self._host),
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(len(body))),
+        ]
+        request = h11.Request(method=method, target=target, headers=headers)
+        self._body.clear()
+        events = (request, h11.Data(data=body), h11.EndOfMessage())
+        chunks = [self._protocol.send(event) or b'' for event in events]
+        await self._stream.send_all(b''.join(chunks))
+
+    async def _receive(self) -> HttpReply:
+        event = await self._next_event()
+        while not isinstance(event, h11.EndOfMessage):
+            if isinstance(event, h11.ConnectionClosed):
+                raise trio.BrokenResourceError('the runner closed the link')
+            if isinstance(event, h11.Response):
+                self._status = event.status_code
+            if isinstance(event, h11.Data):
+                self._add(event.data)
+            event = await self._next_event()
+        return self._complete()
+
+    async def _next_event(self) -> object:
+        event = self._protocol.next_event()
+        while event is h11.NEED_DATA:
+            chunk = await self._stream.receive_some(_READ_BYTES)
+            self._protocol.receive_data(bytes(chunk))
+            event = self._protocol.next_event()
+        return event
+
+    def _add(self, chunk: bytes | bytearray) -> None:
+        if len(self._body) + len(chunk) > MAX_RESPONSE_BYTES:
+            raise _ResponseTooLarge(f'more than {MAX_RESPONSE_BYTES} bytes')
+        self._body += chunk
+
+    def _complete(self) -> HttpReply:
+        reply = HttpReply(self._status, bytes(self._body))
+        if self._protocol.their_state is h11.DONE:
+            self._protocol.start_next_cycle()
+        return reply
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for systems outside the product."""
--- /dev/null
+++ b/standins/runner.py
@@ -0,0 +1,190 @@
+"""Stand-in for a runner.
+
+Serves ``POST /run`` and ``GET /status``, and ``POST /throttle`` with any of
+``speed``, ``paused``, ``fail_all``, ``failure_rate``, ``hang`` and
+``latency_ms``. The payload sets the run: ``{"run_ms": 80}``, with ``"fail"``
+for a task failure, ``"status"`` for another status code, ``"hang"`` for no
+answer, ``"echo"`` for the result and ``"tag"`` for the journal. Each start is
+one line of the journal (job, task, tag), written and flushed before the work
+begins.
+
+    python -m standins.runner --address 127.0.0.1:0 --journal FILE
+"""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import functools
+import pathlib
+import random
+import signal
+import sys
+from collections.abc import Iterator
+from typing import IO, Any
+
+import trio
+
+from standins.http import Reply, serve_http
+
+_MS_PER_SECOND = 1000
+_PAUSE_CHECK_S = 0.01
+_TUNABLE = ('speed', 'paused', 'fail_all', 'failure_rate', 'hang', 'latency_ms')
+
+
+class RunnerStandIn:
+    """Runs tasks by sleeping for the run time of their payload."""
+
+    def __init__(
+        self,
+        slots: int,
+        journal: IO[str],
+        seed: int = 0,
+        **tuning: Any,
+    ) -> None:
+        """Prepare a runner; ``tuning`` takes the keys of ``/throttle``."""
+        self._slots = trio.CapacityLimiter(slots)
+        self._journal = journal
+        self._random = random.Random(seed)
+        self._running = 0
+        self._peak = 0
+        self.speed = 1.0
+        self.paused = False
+        self.fail_all = False
+        self.failure_rate = 0
+        self.hang = False
+        self.latency_ms = 0
+        self.tune(tuning)
+
+    def tune(self, tuning: dict[str, Any]) -> None:
+        """Change the behaviour from now on."""
+        for name in _TUNABLE:
+            setattr(self, name, tuning.get(name, getattr(self, name)))
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        """Serve one connection."""
+        await serve_http(stream, self._reply)
+
+    async def _reply(self, method: str, target: str, body: Any) -> Reply:
+        match method, target:
+            case 'POST', '/run':
+                return await self._run(body)
+            case 'GET', '/status':
+                return await self._status()
+            case 'POST', '/throttle':
+                self.tune(body)
+                return await self._status()
+        return 404, {'error': 'not found'}
+
+    async def _status(self) -> Reply:
+        if self.hang:
+            await trio.sleep_forever()
+        slots = int(self._slots.total_tokens)
+        return 200, {
+            'slots': slots,
+            'running': self._running,
+            'peak': self._peak,
+        }
+
+    async def _run(self, body: Any) -> Reply:
+        with self._counted():
+            async with self._slots:
+                return await self._work(body)
+
+    @contextlib.contextmanager
+    def _counted(self) -> Iterator[None]:
+        self._running += 1
+        self._peak = max(self._peak, self._running)
+        yield
+        self._running -= 1
+
+    async def _work(self, body: Any) -> Reply:
+        payload = body['payload'] or {}
+        self._record(body, payload)
+        await trio.sleep(self.latency_ms / _MS_PER_SECOND)
+        if self.hang or payload.get('hang'):
+            await trio.sleep_forever()
+        if self.fail_all or self._random.random() < self.failure_rate:
+            return 500, {'error': 'the runner fails'}
+        await self._spend(payload.get('run_ms', 0))
+        if payload.get('fail'):
+            return 422, {'error': 'the task fails'}
+        return payload.get('status', 200), {'result': payload.get('echo')}
+
+    def _record(self, body: Any, payload: Any) -> None:
+        job, task = body['job'], body['task']
+        tag = payload.get('tag', '-')
+        self._journal.write(f'{job} {task} {tag}\n')
+        self._journal.flush()
+
+    async def _spend(self, run_ms: float) -> None:
+        while self.paused:
+            await trio.sleep(_PAUSE_CHECK_S)
+        await trio.sleep(run_ms / self.speed / _MS_PER_SECOND)
+
+
+async def run_runner(arguments: argparse.Namespace) -> None:
+    """Serve until SIGTERM or the given time."""
+    host, _, port = arguments.address.rpartition(':')
+    with pathlib.Path(arguments.journal).open('a', encoding='utf-8') as journal:
+        runner = RunnerStandIn(
+            arguments.slots,
+            journal,
+            arguments.seed,
+            speed=arguments.speed,
+            failure_rate=arguments.failure_rate,
+            fail_all=arguments.fail_all,
+            hang=arguments.hang,
+            latency_ms=arguments.latency_ms,
+        )
+        await serve_until_stopped(host, int(port), runner, arguments)
+
+
+async def serve_until_stopped(
+    host: str,
+    port: int,
+    server: Any,
+    arguments: argparse.Namespace,
+) -> None:
+    """Serve a stand-in on TCP and print its address."""
+    listeners = await trio.open_tcp_listeners(port, host=host)
+    bound = listeners[0].socket.getsockname()
+    sys.stdout.write(f'{bound[0]}:{bound[1]}\n')
+    sys.stdout.flush()
+    with trio.move_on_after(arguments.stop_after_s):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                functools.partial(
+                    trio.serve_listeners,
+                    server.serve,
+                    listeners,
+                ),
+            )
+            with trio.open_signal_receiver(signal.SIGTERM) as signals:
+                await anext(signals)
+            nursery.cancel_scope.cancel()
+
+
+def add_common_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the address and the time to stop."""
+    parser.add_argument('--address', default='127.0.0.1:0')
+    parser.add_argument('--stop-after-s', type=float, default=float('inf'))
+
+
+def main() -> None:
+    """Run the stand-in from the command line."""
+    parser = argparse.ArgumentParser(description='Stand-in for a runner')
+    add_common_arguments(parser)
+    parser.add_argument('--journal', required=True)
+    parser.add_argument('--slots', type=int, default=8)
+    parser.add_argument('--seed', type=int, default=0)
+    parser.add_argument('--speed', type=float, default=1)
+    parser.add_argument('--failure-rate', type=float, default=0)
+    parser.add_argument('--latency-ms', type=float, default=0)
+    parser.add_argument('--fail-all', action='store_true')
+    parser.add_argument('--hang', action='store_true')
+    trio.run(run_runner, parser.parse_args())
+
+
+if __name__ == '__main__':
+    main()
