Run the guard role in the daemon and judge echoed results

Cause: the guard's start may fail by a value, and the runner stand-in journals plain text and echoes a value that ties a result to its task.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each module is a command that prints its figures."""
--- /dev/null
+++ b/bench/throughput.py
@@ -0,0 +1,107 @@
+"""Task starts a second through one entry, and processor time a start."""
+
+from __future__ import annotations
+
+import itertools
+import pathlib
+import tempfile
+import time
+
+from bench.report import median, percentile, print_table
+from standins.caller import job_body
+from standins.deployment import Deployment
+from standins.load import ObservedJob, PlannedJob, run_load
+
+_GUARDS = 5
+_SLOTS = 32
+_RUN_MS = 5.0
+_DEADLINE_MS = 60_000
+_LOADS = ((1, 400), (15, 150), (150, 40))
+_SETTLE_S = 2.0
+
+
+def main() -> None:
+    """Measure and print the table."""
+    with tempfile.TemporaryDirectory(prefix='borageward-') as folder:
+        deployment = Deployment(
+            pathlib.Path(folder),
+            controls=1,
+            entries=1,
+            guards=_GUARDS,
+            slots=_SLOTS,
+        )
+        try:
+            deployment.start()
+            time.sleep(_SETTLE_S)
+            _measure(deployment)
+        finally:
+            deployment.stop()
+
+
+def _measure(deployment: Deployment) -> None:
+    run_load(_plan(deployment, 1, 50))
+    rows = [_row(deployment, tasks, jobs) for tasks, jobs in _LOADS]
+    print_table(
+        (
+            'tasks a job',
+            'jobs',
+            'complete',
+            'starts/s',
+            'median ms',
+            'p99 ms',
+            'entry ms CPU/start',
+            'guard ms CPU/start',
+            'control ms CPU/job',
+        ),
+        rows,
+    )
+
+
+def _row(
+    deployment: Deployment,
+    tasks: int,
+    jobs: int,
+) -> tuple[float, ...]:
+    before = _cpu(deployment)
+    started = time.monotonic()
+    observed = run_load(_plan(deployment, tasks, jobs))
+    took = time.monotonic() - started
+    used = [after - first for after, first in zip(_cpu(deployment), before)]
+    complete = [job for job in observed if job.complete]
+    starts = tasks * len(complete)
+    costs = (
+        1000 * used[0] / starts,
+        1000 * used[1] / starts,
+        1000 * used[2] / len(complete),
+    )
+    counts = (tasks, jobs, len(complete), starts / took)
+    return (*counts, *_times(complete), *costs)
+
+
+def _times(observed: list[ObservedJob]) -> tuple[float, float]:
+    figures = [job.response_ms for job in observed]
+    return median(figures), percentile(figures)
+
+
+def _cpu(deployment: Deployment) -> tuple[float, float, float]:
+    entry = deployment.entries[0].cpu_seconds()
+    guards = sum(guard.cpu_seconds() for guard in deployment.guards)
+    control = deployment.controls[0].cpu_seconds()
+    return entry, guards, control
+
+
+def _plan(deployment: Deployment, tasks: int, jobs: int) -> list[PlannedJob]:
+    """Return all jobs at once; the connection limit of the client paces."""
+    run_times = list(itertools.repeat(_RUN_MS, tasks))
+    return [
+        PlannedJob(
+            0,
+            deployment.entry_addresses[0],
+            job_body(deployment.service, run_times, _DEADLINE_MS),
+        )
+        for _ in range(jobs)
+    ]
+
+
+if __name__ == '__main__':
+    main()
--- a/src/borageward/daemon/process.py
+++ b/src/borageward/daemon/process.py
@@ -20,8 +20,8 @@
 class Role(Protocol):
     """A part of the process with its own life."""
 
-    async def start(self, nursery: trio.Nursery) -> None:
-        """Start the role's tasks in the nursery."""
+    async def start(self, nursery: trio.Nursery) -> Failure | None:
+        """Start the role's tasks in the nursery, or return why not."""
 
     async def close(self) -> None:
         """Finish the accepted work and stop."""
@@ -34,7 +34,7 @@
     failure: Failure | None = None
     with trio.open_signal_receiver(*_STOP_SIGNALS) as signals:
         try:
-            await _run_roles(settings, log, signals)
+            failure = await _run_roles(settings, log, signals)
         except* OSError as group:
             failure = Failure(
                 FailureReason.STORAGE_FAILED,
@@ -59,18 +59,30 @@
     settings: Settings,
     log: EventLog,
     signals: AsyncIterable[int],
-) -> None:
+) -> Failure | None:
     async with trio.open_nursery() as nursery:
         roles = open_roles(settings, SystemClock(), log)
-        for role in roles:
-            await role.start(nursery)
-        log.event('process_started')
-        await _first_signal(signals)
+        failure = await _start_all(roles, nursery)
+        if failure is None:
+            log.event('process_started')
+            await _first_signal(signals)
         log.event('process_stopping')
-        for stopping in reversed(roles):
-            await stopping.close()
+        for role in reversed(roles):
+            await role.close()
         log.event('process_stopped')
         nursery.cancel_scope.cancel()
+    return failure
+
+
+async def _start_all(
+    roles: list[Role],
+    nursery: trio.Nursery,
+) -> Failure | None:
+    for role in roles:
+        failure = await role.start(nursery)
+        if failure is not None:
+            return failure
+    return None
 
 
 async def _first_signal(signals: AsyncIterable[int]) -> None:
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -28,18 +28,19 @@
     idempotent: bool = True,
 ) -> dict[str, Any]:
     """Return a job of one task for each run time."""
+    job_id = new_id()
     return {
-        'id': new_id(),
+        'id': job_id,
         'service': service,
         'deadline_ms': deadline_ms,
         'priority': 'urgent' if urgent else 'normal',
         'tasks': [
             {
                 'kind': kind,
-                'payload': {'run_ms': run_ms},
+                'payload': {'run_ms': run_ms, 'echo': f'{job_id}/{index}'},
                 'idempotent': idempotent,
             }
-            for run_ms in run_times_ms
+            for index, run_ms in enumerate(run_times_ms)
         ],
     }
 
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -94,8 +94,8 @@
         starts = []
         for journal in sorted(self.folder.glob('runner-*.journal')):
             for line in journal.read_text('utf-8').splitlines():
-                start = json.loads(line)
-                starts.append((start['job'], start['task']))
+                job, task, _tag = line.split(' ', maxsplit=2)
+                starts.append((job, int(task)))
         return starts
 
     def _write_controls(self, count: int) -> None:
--- a/standins/judge.py
+++ b/standins/judge.py
@@ -89,12 +89,23 @@
     violations = []
     if answered != expected:
         violations.append(Violation('answer is partial', job))
+    for found in exchange.answer['results']:
+        if found.get('result') != _echo(exchange, found['index']):
+            violations.append(
+                Violation('result of another task', job, found['index']),
+            )
     for index in expected:
         if not starts[job, index]:
             violations.append(Violation('answered, not started', job, index))
     return violations
 
 
+def _echo(exchange: Exchange, index: int) -> Any:
+    """Return what the runner echoes for a task: its job and index."""
+    task = exchange.body['tasks'][index]
+    return task.get('payload', {}).get('echo')
+
+
 def _check_failed(
     starts: collections.Counter[Start],
     exchange: Exchange,
--- a/tests/standins/test_judge.py
+++ b/tests/standins/test_judge.py
@@ -31,6 +31,14 @@
             ['answer is partial'],
         ),
         (_BOTH, {**_COMPLETE, 'id': 'b'}, ['answer to another request']),
+        (
+            _BOTH,
+            {
+                **_COMPLETE,
+                'results': [{'index': 0, 'result': 'b/0'}, {'index': 1}],
+            },
+            ['result of another task'],
+        ),
         (
             [('a', 1)],
             {
