Add the adaptive dispatch policy and the class slot scheduler

Cause: the entry and the guard need the decisions behind DispatchPolicy and SlotScheduler. Change: AdaptiveDispatchPolicy places by earliest expected finish with late binding, learns run times, admits by predicted wait, shares slots between services, budgets retries and limits failing workers. ClassSlotScheduler bounds long work and serves jobs in turn.

--- a/src/borageward/configuration/limits.py
+++ b/src/borageward/configuration/limits.py
@@ -14,16 +14,28 @@
     max_queued_tasks: int = 20_000
     max_body_bytes: int = 1_048_576
     max_deadline_ms: int = 600_000
+    # A job is refused when the work ahead of it takes longer than this, which
+    # bounds the backlog that is left when a demand peak ends.
+    max_predicted_wait_ms: int = 400
     # A job is refused when its predicted wait leaves less than this share of
     # its deadline.
     admission_margin: float = 0.1
     # Retries after a proved ``not_run``, as a share of fresh starts.
     retry_budget_share: float = 0.1
+    retry_backoff_ms: int = 10
+    retry_backoff_max_ms: int = 1000
+    max_attempts: int = 4
+    # Placement. A task stays at the entry while the queue of the best worker
+    # is estimated to be at least this long.
+    placement_queue_tasks: int = 2
+    place_delay_ms: float = 0.5
     # Guards.
     guard_queue_tasks: int = 64
     short_slots_share: float = 0.25
     # A task whose learnt run time is above this is long work.
     long_task_ms: int = 2000
+    # Share of a guard's slots that long work may hold.
+    long_slots_share: float = 0.5
     # Outliers.
     outlier_window: int = 20
     outlier_failures: int = 10
--- /dev/null
+++ b/src/borageward/policy/capacity.py
@@ -0,0 +1,143 @@
+"""What the linked workers can do in a given time, as one entry sees it."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Sequence
+
+from borageward.clock import Milliseconds
+from borageward.configuration import Limits
+from borageward.policy.admission import AdmissionScene
+from borageward.policy.dispatch import JobNeed, WaitingTask
+from borageward.policy.job_queue import JobQueue
+from borageward.policy.placement import PlacementScene
+from borageward.policy.run_times import RunTimeModel
+from borageward.policy.shares import ServiceShares
+from borageward.policy.workers import Workers
+
+_TAIL_QUANTILE = 0.95
+_TYPICAL_QUANTILE = 0.5
+# A job is served first when this multiple of its remaining time is left.
+_START_RESERVE = 1.25
+
+
+class Capacity:
+    """Rates and run times that admission and placement are based on.
+
+    Rates are run time at speed 1 that is done in a millisecond.
+    """
+
+    def __init__(
+        self,
+        workers: Workers,
+        queue: JobQueue,
+        run_times: RunTimeModel,
+    ) -> None:
+        """Use the views, the queue and the run times of a policy."""
+        self._workers = workers
+        self._queue = queue
+        self._run_times = run_times
+        self._entries = 1
+
+    def configure(self, entries: int) -> None:
+        """Split the capacity over the live entries."""
+        self._entries = max(1, entries)
+
+    def placement_scene(
+        self,
+        now_ms: Milliseconds,
+        own_place: str,
+        limits: Limits,
+    ) -> PlacementScene:
+        """Return what a placement decision may look at."""
+        return PlacementScene(
+            now_ms=now_ms,
+            own_place=own_place,
+            place_delay_ms=limits.place_delay_ms,
+            short_ms=self._run_times.short_mean_ms(),
+            long_ms=limits.long_task_ms,
+            allowance_tasks=limits.placement_queue_tasks,
+            long_share=limits.long_slots_share,
+        )
+
+    def admission_scene(
+        self,
+        need: JobNeed,
+        shares: ServiceShares,
+        limits: Limits,
+        now_ms: Milliseconds,
+    ) -> AdmissionScene:
+        """Return what an admission decision may look at."""
+        whole = self.rate(now_ms, limits)
+        slots = sum(view.slots for view in self._workers.active)
+        share = shares.share(need.service, self._queue.services(), slots)
+        return AdmissionScene(
+            now_ms=now_ms,
+            queued_tasks=self._queue.task_count,
+            job_tasks=len(need.kinds),
+            urgent=need.urgent,
+            remaining_ms=need.remaining_ms,
+            ahead_ms=self._queue.work_ahead_ms(
+                need.service,
+                need.urgent,
+                len(need.kinds),
+            ),
+            own_ms=self._work_ms(need),
+            tail_ms=self._tail_ms(need),
+            rate=whole * share,
+            whole_rate=whole,
+        )
+
+    def rate(self, now_ms: Milliseconds, limits: Limits) -> float:
+        """Return the rate that the entry can count on now.
+
+        It has its equal part of all slots, or what it uses already together
+        with the slots that seem free.
+        """
+        short_ms = self._run_times.short_mean_ms()
+        whole: float = 0
+        usable: float = 0
+        for view in self._workers.active:
+            free = max(0, -view.excess(now_ms, short_ms))
+            running = min(view.in_flight, view.slots)
+            whole += view.speed * view.slots
+            usable += view.speed * min(view.slots, free + running)
+        return max(whole / self._entries, usable)
+
+    def latest_start_ms(
+        self,
+        tasks: Sequence[WaitingTask],
+    ) -> tuple[Milliseconds, Milliseconds]:
+        """Return the latest safe start of a job and its last possible one."""
+        first = tasks[0]
+        typical_ms = self._run_times.quantile_ms(
+            first.service,
+            first.kind,
+            _TYPICAL_QUANTILE,
+        )
+        tail_ms = self._run_times.quantile_ms(
+            first.service,
+            first.kind,
+            _TAIL_QUANTILE,
+        )
+        views = self._workers.active
+        whole = sum(view.speed * view.slots for view in views) or 1
+        fastest = max((view.speed for view in views), default=1)
+        work_ms = sum(task.expected_ms for task in tasks)
+        needed_ms = work_ms * self._entries / whole + tail_ms
+        return (
+            first.deadline_ms - _START_RESERVE * needed_ms,
+            first.deadline_ms - typical_ms / fastest,
+        )
+
+    def _work_ms(self, need: JobNeed) -> Milliseconds:
+        return sum(
+            count * self._run_times.mean_ms(need.service, kind)
+            for kind, count in Counter(need.kinds).items()
+        )
+
+    def _tail_ms(self, need: JobNeed) -> Milliseconds:
+        return max(
+            self._run_times.quantile_ms(need.service, kind, _TAIL_QUANTILE)
+            for kind in set(need.kinds)
+        )
--- /dev/null
+++ b/tests/policy/builders.py
@@ -0,0 +1,84 @@
+"""Builders of small fixed cases."""
+
+from __future__ import annotations
+
+import random
+
+from borageward.messages.guard import GuardLoad
+from borageward.messages.task import RunClass
+from borageward.policy.adaptive_dispatch import (
+    AdaptiveDispatchPolicy,
+    DispatchParts,
+)
+from borageward.policy.dispatch import JobNeed, WaitingTask
+from borageward.policy.scheduler import GuardTask
+
+SERVICE = 'dispatch'
+SLOTS = 8
+NOW_MS = 1000
+DEADLINE_MS = 6000
+
+
+def guard_load(free=SLOTS, queued=0, speed=1, leaving=False):
+    """Return a load report of a guard with 8 slots."""
+    return GuardLoad(SLOTS, free, queued, 0, 0, leaving, speed)
+
+
+def waiting(job, index=0, urgent=False, idempotent=True, kind='stock'):
+    """Return a waiting task of a job that is named by one letter."""
+    return WaitingTask(
+        job_id=job.encode(),
+        index=index,
+        service=SERVICE,
+        kind=kind,
+        urgent=urgent,
+        idempotent=idempotent,
+        deadline_ms=DEADLINE_MS,
+        enqueued_ms=NOW_MS,
+    )
+
+
+def waiting_job(job, count, **options):
+    """Return the tasks of a job."""
+    return [waiting(job, index, **options) for index in range(count)]
+
+
+def need(count, urgent=False, remaining_ms=5000, service=SERVICE):
+    """Return the need of a job of stock checks."""
+    return JobNeed(b'n', service, urgent, remaining_ms, ('stock',) * count)
+
+
+def guard_task(job, index=0, run_class=RunClass.SHORT, urgent=False):
+    """Return a task at a guard."""
+    return GuardTask(
+        job_id=job.encode(),
+        index=index,
+        service=SERVICE,
+        kind='stock',
+        payload=b'',
+        urgent=urgent,
+        run_class=run_class,
+        expected_ms=500,
+        deadline_ms=DEADLINE_MS,
+    )
+
+
+def policy_with(loads, place='nadi-depot', **parts):
+    """Return a policy that is linked to workers with given loads."""
+    policy = AdaptiveDispatchPolicy(
+        place,
+        random.Random(1),
+        DispatchParts(**parts),
+    )
+    for worker, reported in loads.items():
+        policy.add_guard(worker, place, SERVICE, reported)
+    return policy
+
+
+def sent(policy, now_ms=NOW_MS):
+    """Return how many tasks go to each worker now."""
+    counts = {}
+    for assignment in policy.assignments(now_ms):
+        tasks = counts.get(assignment.worker, 0) + len(assignment.tasks)
+        counts[assignment.worker] = tasks
+    return counts
--- /dev/null
+++ b/tests/policy/test_class_scheduler.py
@@ -0,0 +1,65 @@
+"""Slots of a runner under mixed work."""
+
+from __future__ import annotations
+
+from borageward.messages.task import RunClass
+from borageward.policy.class_scheduler import ClassSlotScheduler
+from tests.policy.builders import NOW_MS, SLOTS, guard_task
+
+
+def _started(scheduler, now_ms=NOW_MS):
+    started = []
+    task = scheduler.take(now_ms)
+    while task is not None:
+        started.append(task)
+        task = scheduler.take(now_ms)
+    return started
+
+
+def test_long_work_leaves_slots_to_short_work():
+    """Guards against long work that takes all slots of a runner."""
+    scheduler = ClassSlotScheduler(SLOTS)
+    for index in range(20):
+        scheduler.offer(guard_task('l', index, RunClass.LONG), NOW_MS)
+    assert len(_started(scheduler)) == 4
+    scheduler.offer(guard_task('s'), NOW_MS)
+    assert [task.job_id for task in _started(scheduler)] == [b's']
+
+
+def test_overdue_short_work_counts_as_long():
+    """Guards against long work of a short kind that takes all slots."""
+    scheduler = ClassSlotScheduler(SLOTS)
+    for index in range(4):
+        scheduler.offer(guard_task('h', index), NOW_MS)
+    assert len(_started(scheduler)) == 4
+    scheduler.offer(guard_task('l', 0, RunClass.LONG), NOW_MS)
+    assert not _started(scheduler, NOW_MS + 3000)
+
+
+def test_jobs_take_turns():
+    """Guards against a large job that shuts out a single task."""
+    scheduler = ClassSlotScheduler(1)
+    for index in range(50):
+        scheduler.offer(guard_task('a', index), NOW_MS)
+    scheduler.offer(guard_task('b'), NOW_MS)
+    first = scheduler.take(NOW_MS)
+    scheduler.release(first, 100)
+    assert scheduler.take(NOW_MS).job_id == b'b'
+
+
+def test_urgent_work_goes_first():
+    """Guards against urgent work that waits behind other work."""
+    scheduler = ClassSlotScheduler(1)
+    scheduler.offer(guard_task('a'), NOW_MS)
+    scheduler.offer(guard_task('u', urgent=True), NOW_MS)
+    assert scheduler.take(NOW_MS).job_id == b'u'
+
+
+def test_withdrawn_task_never_starts():
+    """Guards against a start of a task that was reported as withdrawn."""
+    scheduler = ClassSlotScheduler(1)
+    scheduler.offer(guard_task('a'), NOW_MS)
+    assert scheduler.withdraw(b'a', 0) is not None
+    assert scheduler.withdraw(b'a', 0) is None
+    assert scheduler.take(NOW_MS) is None
+    assert scheduler.load(leaving=False).queued_short == 0
