Add the query and command language with plans in plain sentences

Cause: operators had no way to see jobs and workers, and changes had no description that a non-engineer could judge.

Adds the messages SetQuota, SetWeight, SetDeadline and SetDrained and the drained workers.

--- a/src/borageward/configuration/aggregate.py
+++ b/src/borageward/configuration/aggregate.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+from typing import TypeAlias
+
 import attrs
 import msgspec
 
 from borageward.configuration.limits import Limits
 from borageward.configuration.policy import ANY_KIND, Policy, Service
+from borageward.configuration.service import ServiceValues, changed_service
 from borageward.failures import Failure, FailureReason
 from borageward.messages import configuration as changes
 
+_ServiceChange: TypeAlias = ServiceValues | changes.RemoveService
 _LIMIT_NAMES = frozenset(attrs.fields_dict(Limits))
 
 
@@ -21,6 +25,7 @@
     policies: tuple[Policy, ...]
     limits: Limits
     approval_required: bool
+    drained_workers: tuple[str, ...] = ()
 
     def policy_for(self, service: str, kind: str) -> Policy | None:
         """Return the policy of a kind, or that of all kinds, or nothing."""
@@ -47,6 +52,8 @@
             return self._set_limit(change)
         if isinstance(change, changes.SetPolicy | changes.RemovePolicy):
             return self._change_policy(change)
+        if isinstance(change, changes.SetDrained):
+            return self._set_drained(change)
         return self._change_service(change)
 
     def _apply_batch(self, batch: changes.Batch) -> Configuration | Failure:
@@ -58,6 +65,12 @@
             current = changed
         return current
 
+    def _set_drained(self, change: changes.SetDrained) -> Configuration:
+        drained = set(self.drained_workers) - {change.worker}
+        if change.drained:
+            drained.add(change.worker)
+        return attrs.evolve(self, drained_workers=tuple(sorted(drained)))
+
     def _set_limit(self, change: changes.SetLimit) -> Configuration | Failure:
         if change.name not in _LIMIT_NAMES:
             return _invalid(f'unknown limit {change.name!r}')
@@ -96,17 +109,22 @@
 
     def _change_service(
         self,
-        change: changes.SetService | changes.RemoveService,
+        change: _ServiceChange,
+    ) -> Configuration | Failure:
+        services = dict(self.services)
+        if isinstance(change, changes.RemoveService):
+            return self._remove_service(change)
+        service = changed_service(services.get(change.name), change)
+        if isinstance(service, Failure):
+            return service
+        services[change.name] = service
+        return attrs.evolve(self, services=services)
+
+    def _remove_service(
+        self,
+        change: changes.RemoveService,
     ) -> Configuration | Failure:
         services = dict(self.services)
-        if isinstance(change, changes.SetService):
-            services[change.name] = Service(
-                change.name,
-                change.quota_slots,
-                change.weight,
-                change.deadline_ms,
-            )
-            return attrs.evolve(self, services=services)
         if services.pop(change.name, None) is None:
             return _invalid(f'unknown service {change.name!r}')
         kept = tuple(
--- /dev/null
+++ b/src/borageward/language/limits.py
@@ -0,0 +1,70 @@
+"""What each limit means, for plans and the reference page."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from types import MappingProxyType
+
+from borageward.language.sentences import number_text
+
+# The meaning completes the sentence "It is ...".
+LIMIT_MEANINGS: Mapping[str, str] = MappingProxyType(
+    {
+        'max_open_jobs': (
+            'the number of unanswered jobs of an entry; further jobs are '
+            'refused as overloaded'
+        ),
+        'max_queued_tasks': (
+            'the number of waiting tasks of an entry; further jobs are '
+            'refused as overloaded'
+        ),
+        'max_body_bytes': (
+            'the size of a request in bytes; larger ones are refused as '
+            'body_too_large'
+        ),
+        'max_deadline_ms': (
+            'the longest deadline in ms that a job may ask for; longer ones '
+            'are refused as invalid_request'
+        ),
+        'admission_margin': (
+            'the share of its deadline that a job must have left after the '
+            'predicted wait; otherwise it is refused as overloaded'
+        ),
+        'retry_budget_share': (
+            'the number of retries as a share of first starts; further '
+            'retries are refused as retry_budget_spent'
+        ),
+        'guard_queue_tasks': (
+            'the number of tasks that wait at one worker; further ones are '
+            'placed elsewhere'
+        ),
+        'short_slots_share': (
+            'the share of the slots of each worker that long work may not use'
+        ),
+        'long_task_ms': (
+            'the run time in ms above which work counts as long work'
+        ),
+        'outlier_window': (
+            'the number of recent jobs of a worker that failures are counted in'
+        ),
+        'outlier_failures': (
+            'the number of failures in that window that ejects a worker'
+        ),
+        'outlier_probe_interval_ms': (
+            'the first pause in ms before an ejected worker is tried again'
+        ),
+        'max_ejected_share': (
+            'the largest share of the workers that may be ejected at once'
+        ),
+        'configuration_lease_ms': (
+            'the time in ms without confirmation after which a process '
+            'takes no new work'
+        ),
+    }
+)
+
+
+def limit_sentence(name: str, before: float, after: float) -> str:
+    """Return the sentence of a changed limit."""
+    figures = f'from {number_text(before)} to {number_text(after)}'
+    return f'Limit {name} changes {figures}. It is {LIMIT_MEANINGS[name]}.'
--- a/src/borageward/messages/configuration.py
+++ b/src/borageward/messages/configuration.py
@@ -20,6 +20,34 @@
     deadline_ms: int
 
 
+class SetQuota(Message, frozen=True):
+    """Set the runner slots that are a service's own."""
+
+    name: str
+    quota_slots: int
+
+
+class SetWeight(Message, frozen=True):
+    """Set a service's share of unused slots."""
+
+    name: str
+    weight: float
+
+
+class SetDeadline(Message, frozen=True):
+    """Set a service's default deadline."""
+
+    name: str
+    deadline_ms: int
+
+
+class SetDrained(Message, frozen=True):
+    """Say whether a worker takes no new work."""
+
+    worker: str
+    drained: bool
+
+
 class RemoveService(Message, frozen=True):
     """Remove a service; its later jobs are refused."""
 
@@ -59,26 +87,24 @@
     required: bool
 
 
-class Batch(Message, frozen=True):
-    """Several changes that take effect as one revision."""
-
-    changes: tuple[
-        SetService
-        | RemoveService
-        | SetPolicy
-        | RemovePolicy
-        | SetLimit
-        | SetApproval,
-        ...,
-    ]
-
-
-ConfigurationChange: TypeAlias = (
+SingleChange: TypeAlias = (
     SetService
+    | SetQuota
+    | SetWeight
+    | SetDeadline
+    | SetDrained
     | RemoveService
     | SetPolicy
     | RemovePolicy
     | SetLimit
     | SetApproval
-    | Batch
 )
+
+
+class Batch(Message, frozen=True):
+    """Several changes that take effect as one revision."""
+
+    changes: tuple[SingleChange, ...]
+
+
+ConfigurationChange: TypeAlias = SingleChange | Batch
--- /dev/null
+++ b/tests/language/test_plan.py
@@ -0,0 +1,120 @@
+"""Plans in plain sentences, their digest, and undo."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from borageward.configuration import Limits, initial_configuration
+from borageward.failures import Failure
+from borageward.language import (
+    make_plan,
+    parse_sentence,
+    plan_digest,
+    plan_states_change,
+    undo_change,
+)
+from borageward.language.limits import LIMIT_MEANINGS
+from borageward.messages.control import GuardMember
+
+_PLACES = ('nadi-depot', 'lautoka-yard', 'sigatoka-shed', 'nadrau-pass')
+_GUARDS = tuple(
+    GuardMember(
+        number,
+        f'worker-0{number}',
+        _PLACES[number % 4],
+        'dispatch',
+        '',
+        '',
+        8,
+        ended_at=50 if number == 0 else 0,
+    )
+    for number in range(10)
+)
+
+
+def _changed(configuration, sentence):
+    outcome = configuration.apply(parse_sentence(sentence))
+    assert not isinstance(outcome, Failure), outcome
+    return outcome
+
+
+_BASE = _changed(
+    initial_configuration(),
+    'create service dispatch with quota 40 slots, weight 1, deadline 5 s',
+)
+
+
+@pytest.mark.parametrize(
+    'sentence',
+    [
+        'set quota of dispatch to 80 slots',
+        'allow reorder of dispatch in nadi-depot, lautoka-yard',
+        'allow * of dispatch in suva-wharf',
+        'drain worker worker-04 and set limit max_open_jobs to 100',
+        'create service forecast with quota 8 slots, weight 0.5, deadline 1 s',
+        'remove service dispatch and require approval',
+        'set weight of dispatch to 1',
+    ],
+)
+def test_plan_text(sentence, snapshot):
+    """Guards against a plan that hides who loses capacity or is refused."""
+    plan = make_plan(_BASE, 3, parse_sentence(sentence), _GUARDS)
+    assert plan.text == snapshot
+    assert plan_states_change(plan.text, plan.change)
+
+
+def test_digest_covers_text_and_revision():
+    """Guards against an approval that holds for another text or base."""
+    digests = {
+        plan_digest('- one\n', 3),
+        plan_digest('- one\n', 4),
+        plan_digest('- two\n', 3),
+    }
+    assert len(digests) == 3
+
+
+def test_plan_does_not_state_another_change():
+    """Guards against an approved text applied with another change."""
+    change = parse_sentence('set quota of dispatch to 4 slots')
+    plan = make_plan(_BASE, 3, change, _GUARDS)
+    other = parse_sentence('set quota of dispatch to 40 slots')
+    assert not plan_states_change(plan.text, other)
+
+
+def test_invalid_change_has_no_plan():
+    """Guards against a plan for a change that control will refuse."""
+    change = parse_sentence('set quota of forecast to 4 slots')
+    assert isinstance(make_plan(_BASE, 3, change, _GUARDS), Failure)
+
+
+def test_every_limit_has_a_meaning():
+    """Guards against a limit that a plan cannot explain."""
+    assert set(LIMIT_MEANINGS) == set(attrs.fields_dict(Limits))
+
+
+@pytest.mark.parametrize(
+    'sentence',
+    [
+        'set quota of dispatch to 8 slots',
+        'allow reorder of dispatch in nadi-depot and drain worker worker-01',
+        'remove service dispatch',
+        'require approval and set limit guard_queue_tasks to 2',
+    ],
+)
+def test_undo_restores_and_keeps_later_changes(sentence):
+    """Guards against an undo that loses an unrelated later change."""
+    after = _changed(_BASE, sentence)
+    later = 'set limit max_open_jobs to 7'
+    current = _changed(after, later)
+    change = undo_change(_BASE, after, current)
+    assert current.apply(change) == _changed(_BASE, later)
+
+
+def test_undo_refuses_what_changed_again():
+    """Guards against an undo that overwrites a later decision in silence."""
+    after = _changed(_BASE, 'set quota of dispatch to 8 slots')
+    current = _changed(after, 'set weight of dispatch to 2')
+    outcome = undo_change(_BASE, after, current)
+    assert isinstance(outcome, Failure)
+    assert 'service dispatch' in outcome.detail
