--- /dev/null
+++ b/src/borageward/control/consensus/node.py
@@ -0,0 +1,229 @@
+"""One replica of the control log."""
+
+from __future__ import annotations
+
+import secrets
+from typing import TypeVar
+
+import trio
+
+from borageward.control.consensus.applier import Applier
+from borageward.control.consensus.context import ReplicaContext
+from borageward.control.consensus.election import Election
+from borageward.control.consensus.handlers import RequestHandler
+from borageward.control.consensus.introduction import Introduction
+from borageward.control.consensus.leadership import Leadership
+from borageward.control.consensus.links import PeerLinks
+from borageward.control.consensus.log import ReplicatedLog
+from borageward.control.consensus.membership import ReplicaChange
+from borageward.control.consensus.options import NodeOptions
+from borageward.control.consensus.replicas import learner_ids, voter_ids
+from borageward.control.signals import Signal
+from borageward.control.state import StateMachine, StateReply
+from borageward.control.storage import (
+    Disk,
+    Identity,
+    LogSegments,
+    ReplicaFiles,
+    SnapshotDocument,
+    StorageError,
+)
+from borageward.control.storage.errors import storage_failed
+from borageward.failures import Failure, FailureReason
+from borageward.messages.consensus import (
+    ConsensusReply,
+    ConsensusRequest,
+    LogCommand,
+    Replica,
+    SetReplicas,
+)
+from borageward.messages.control import (
+    AddLearner,
+    ControlStatus,
+    Done,
+    PromoteVoter,
+    RemoveVoter,
+)
+
+_STORAGE_ID_BYTES = 16
+
+StoredT = TypeVar('StoredT')
+
+
+class Node:
+    """Follows, stands for election and leads.
+
+    ``open`` and ``run`` raise ``StorageError`` when the disk cannot be
+    trusted, which ends the process.
+    """
+
+    def __init__(self, options: NodeOptions, disk: Disk) -> None:
+        """Prepare a replica that keeps its files on a disk."""
+        self._options = options
+        self._files = ReplicaFiles(disk)
+        self._log = ReplicatedLog(
+            LogSegments(disk),
+            self._files,
+            SetReplicas(options.initial, ()),
+        )
+        self._context = ReplicaContext(options, self._files, self._log)
+        self._applier = Applier(self._context)
+        self._links = PeerLinks(self._log, options.open_peer)
+        self._handler = RequestHandler(self._context, self._applier)
+        self._leadership: Leadership | None = None
+
+    @property
+    def machine(self) -> StateMachine:
+        """Return the state as of the last applied entry."""
+        return self._applier.machine
+
+    @property
+    def log(self) -> ReplicatedLog:
+        """Return the log."""
+        return self._log
+
+    @property
+    def leader_term(self) -> int:
+        """Return the term in which this replica leads, or zero."""
+        leadership = self._leadership
+        if leadership is None or not leadership.is_active:
+            return 0
+        return leadership.term if leadership.is_ready else 0
+
+    @property
+    def leader(self) -> Replica | None:
+        """Return the leader that this replica knows of."""
+        return self._context.leader
+
+    @property
+    def changed(self) -> Signal:
+        """Return the signal of applied entries and of changes of leader."""
+        return self._context.changed
+
+    def status(self) -> ControlStatus:
+        """Return the state of this replica."""
+        return ControlStatus(
+            self._options.voter_id,
+            self._context.term,
+            self._context.leader_id,
+            self._applier.commit_index,
+            voter_ids(self._log.replicas),
+            learner_ids(self._log.replicas),
+            len(self.machine.claims),
+            self.machine.revisions.revision,
+        )
+
+    async def open(self) -> None:
+        """Read the disk, or raise ``StorageError``."""
+        identity = await self._open_identity()
+        vote = _checked(await self._files.read_vote())
+        snapshot = _checked(await self._log.load())
+        if isinstance(snapshot, SnapshotDocument):
+            _checked(self._applier.restore(snapshot))
+        await self._context.load(vote, identity)
+
+    async def run(self) -> None:
+        """Take part until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._applier.run)
+            nursery.start_soon(self._take_part)
+            failure = await self._context.wait_failure()
+            nursery.cancel_scope.cancel()
+        raise StorageError(failure)
+
+    async def close(self) -> None:
+        """Close the links to the other replicas."""
+        await self._links.close()
+
+    async def serve(self, request: ConsensusRequest) -> ConsensusReply:
+        """Answer another replica."""
+        return await self._handler.serve(request)
+
+    async def propose(self, command: LogCommand) -> StateReply | Failure:
+        """Apply a command once a majority has synced it.
+
+        After a failure the command may still be applied later.
+        """
+        leadership = self._leadership
+        if leadership is None or not leadership.is_active:
+            return self._refusal()
+        return await leadership.propose(command)
+
+    async def confirm(self) -> Failure | None:
+        """Confirm with a majority, after the call, that this one leads."""
+        leadership = self._leadership
+        if leadership is None or not leadership.is_active:
+            return self._refusal()
+        return await leadership.confirm()
+
+    async def change_replicas(
+        self,
+        request: AddLearner | PromoteVoter | RemoveVoter,
+    ) -> Done | Failure:
+        """Change the set of replicas by one."""
+        unconfirmed = await self.confirm()
+        leadership = self._leadership
+        if unconfirmed is not None:
+            return unconfirmed
+        if leadership is None:
+            return self._refusal()
+        change = ReplicaChange(leadership, self._log, self._applier)
+        return await change.run(request)
+
+    async def _take_part(self) -> None:
+        await Introduction(self._context, self._links).run()
+        while True:
+            await Election(self._context, self._links).run()
+            await self._lead()
+
+    async def _lead(self) -> None:
+        self._leadership = Leadership(
+            self._context,
+            self._applier,
+            self._links,
+        )
+        await self._leadership.run()
+        self._leadership = None
+        self._applier.release()
+
+    def _refusal(self) -> Failure:
+        if self._context.failed:
+            return storage_failed('the disk of this replica failed')
+        leader = self._context.leader
+        if leader is not None and leader.voter_id != self._options.voter_id:
+            return Failure(FailureReason.NOT_LEADER, leader.voter_id)
+        if self._context.disk_full:
+            return Failure(
+                FailureReason.DISK_FULL,
+                'the disk of this replica is full',
+            )
+        return Failure(FailureReason.NO_QUORUM, 'no leader is known')
+
+    async def _open_identity(self) -> Identity:
+        empty = _checked(await self._files.is_empty())
+        identity = _checked(await self._files.read_identity())
+        if isinstance(identity, Identity):
+            if identity.voter_id == self._options.voter_id:
+                return identity
+            raise _error(f'the disk belongs to {identity.voter_id}')
+        if not empty:
+            raise _error('the file identity is missing')
+        identity = Identity(
+            self._options.voter_id,
+            secrets.token_bytes(_STORAGE_ID_BYTES),
+            self._options.join_as_learner,
+            admitted=False,
+            known={},
+        )
+        _checked(await self._files.write_identity(identity))
+        return identity
+
+
+def _checked(result: StoredT | Failure) -> StoredT:
+    if isinstance(result, Failure):
+        raise StorageError(result)
+    return result
+
+
+def _error(detail: str) -> StorageError:
+    return StorageError(storage_failed(detail))
--- /dev/null
+++ b/src/borageward/control/consensus/options.py
@@ -0,0 +1,38 @@
+"""Settings of one replica of the log."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import TypeAlias
+
+import attrs
+
+from borageward.clock import Clock, Milliseconds
+from borageward.messages.consensus import Replica
+from borageward.telemetry import EventLog
+from borageward.transport import Peer
+
+# Opens a link to another replica.
+PeerFactory: TypeAlias = Callable[[Replica], Peer]
+
+
+@attrs.frozen(slots=True)
+class NodeOptions:
+    """Identity, times and helpers of one replica.
+
+    ``initial`` is the set of replicas that a new cluster starts with.
+    """
+
+    voter_id: str
+    initial: tuple[Replica, ...]
+    join_as_learner: bool
+    election_timeout_ms: Milliseconds
+    append_interval_ms: Milliseconds
+    claim_retention_ms: int
+    clock_skew_ms: int
+    snapshot_entries: int
+    clock: Clock
+    source: random.Random
+    log: EventLog
+    open_peer: PeerFactory
--- /dev/null
+++ b/src/borageward/control/consensus/replicas.py
@@ -0,0 +1,152 @@
+"""Rules of the set of replicas."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import TypeVar
+
+from borageward.failures import Failure, FailureReason
+from borageward.messages.consensus import Replica, SetReplicas
+from borageward.messages.control import AddLearner, PromoteVoter, RemoveVoter
+from borageward.settings import ControlAddress
+
+ValueT = TypeVar('ValueT', int, float)
+
+
+def find_replica(
+    replicas: Iterable[Replica],
+    voter_id: str,
+) -> Replica | None:
+    """Return the replica with an id, or nothing."""
+    for replica in replicas:
+        if replica.voter_id == voter_id:
+            return replica
+    return None
+
+
+def voter_ids(current: SetReplicas) -> tuple[str, ...]:
+    """Return the ids of the replicas that have a vote."""
+    return tuple(rep.voter_id for rep in current.replicas if rep.voter)
+
+
+def learner_ids(current: SetReplicas) -> tuple[str, ...]:
+    """Return the ids of the replicas without a vote."""
+    return tuple(rep.voter_id for rep in current.replicas if not rep.voter)
+
+
+def majority_value(
+    voters: Sequence[str],
+    values: Mapping[str, ValueT],
+    missing: ValueT,
+) -> ValueT:
+    """Return the highest value that a majority of the voters has reached."""
+    reached = sorted(values.get(voter, missing) for voter in voters)
+    if not reached:
+        return missing
+    return reached[(len(reached) - 1) // 2]
+
+
+def has_majority(voters: Sequence[str], granted: Iterable[str]) -> bool:
+    """Tell whether a majority of the voters granted."""
+    votes = len(set(voters) & set(granted))
+    return 2 * votes > len(voters)
+
+
+def add_learner(
+    current: SetReplicas,
+    request: AddLearner,
+) -> SetReplicas | Failure | None:
+    """Return the set with a learner, or nothing when it is there already."""
+    added = Replica(
+        request.voter_id,
+        request.address,
+        request.member_address,
+        voter=False,
+    )
+    known = find_replica(current.replicas, request.voter_id)
+    if known is not None:
+        if _address_of(known) == _address_of(added):
+            return None
+        return _invalid(f'{request.voter_id} has another address')
+    if request.voter_id in current.retired:
+        return _invalid(f'{request.voter_id} was removed; use a new id')
+    return SetReplicas((*current.replicas, added), current.retired)
+
+
+def promote_voter(
+    current: SetReplicas,
+    request: PromoteVoter,
+    storage_id: bytes,
+) -> SetReplicas | Failure | None:
+    """Return the set with a learner's vote, or nothing when it has it."""
+    known = find_replica(current.replicas, request.voter_id)
+    if known is None:
+        return _invalid(f'{request.voter_id} is not a replica')
+    if known.voter:
+        return None
+    promoted = Replica(
+        known.voter_id,
+        known.address,
+        known.member_address,
+        voter=True,
+        storage_id=storage_id,
+    )
+    return _replaced(current, promoted)
+
+
+def remove_voter(
+    current: SetReplicas,
+    request: RemoveVoter,
+) -> SetReplicas | Failure | None:
+    """Return the set without a replica, or nothing when it was removed."""
+    if request.voter_id in current.retired:
+        return None
+    if find_replica(current.replicas, request.voter_id) is None:
+        return _invalid(f'{request.voter_id} is not a replica')
+    if voter_ids(current) == (request.voter_id,):
+        return _invalid('the last voter cannot be removed')
+    kept = tuple(
+        rep for rep in current.replicas if rep.voter_id != request.voter_id
+    )
+    return SetReplicas(kept, (*current.retired, request.voter_id))
+
+
+def bind_storage(
+    current: SetReplicas,
+    storage: Mapping[str, bytes],
+) -> SetReplicas | None:
+    """Return the set with the voters bound to their disks.
+
+    Returns nothing while a disk is unknown or when all are bound.
+    """
+    unbound = [
+        rep for rep in current.replicas if rep.voter and not rep.storage_id
+    ]
+    if not unbound or any(rep.voter_id not in storage for rep in unbound):
+        return None
+    for rep in unbound:
+        bound = Replica(
+            rep.voter_id,
+            rep.address,
+            rep.member_address,
+            voter=True,
+            storage_id=storage[rep.voter_id],
+        )
+        current = _replaced(current, bound)
+    return current
+
+
+def _address_of(replica: Replica) -> ControlAddress:
+    return ControlAddress(replica.address, replica.member_address)
+
+
+def _replaced(current: SetReplicas, changed: Replica) -> SetReplicas:
+    replicas = tuple(
+        changed if rep.voter_id == changed.voter_id else rep
+        for rep in current.replicas
+    )
+    return SetReplicas(replicas, current.retired)
+
+
+def _invalid(detail: str) -> Failure:
+    return Failure(FailureReason.INVALID_REQUEST, detail)
--- a/src/borageward/control/service/service.py
+++ b/src/borageward/control/service/service.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+import pathlib
 import ssl
 
 import grpc
 import trio
 
 from borageward.clock import Clock
+from borageward.control.consensus import Node
 from borageward.control.service.leases import LeaseTable
-from borageward.control.service.local import LocalReplica
+from borageward.control.service.options import node_options, peer_factory
 from borageward.control.service.reads import Reader
 from borageward.control.service.router import RequestRouter
-from borageward.failures import Failure
+from borageward.control.storage import FileDisk
+from borageward.failures import Failure, FailureReason
+from borageward.messages.base import Rejected
+from borageward.messages.consensus import ConsensusReply, ConsensusRequest
 from borageward.messages.control import ControlReply, ControlRequest
 from borageward.settings import ControlSettings
 from borageward.telemetry import EventLog
@@ -33,19 +38,25 @@
         peer_credentials: grpc.ChannelCredentials | None = None,
     ) -> None:
         """Prepare a replica; ``tls`` is for frames, the rest for gRPC."""
-        self._replica = LocalReplica(settings, clock)
-        self._leases = LeaseTable(settings, self._replica, clock, log)
-        reader = Reader(self._replica, self._leases, clock)
-        self._router = RequestRouter(self._replica, self._leases, reader)
+        options = node_options(
+            settings,
+            clock,
+            log,
+            peer_factory(peer_credentials),
+        )
+        self._node = Node(options, FileDisk(pathlib.Path(settings.data_folder)))
+        self._leases = LeaseTable(settings, self._node, clock, log)
+        reader = Reader(self._node, self._leases, clock)
+        self._router = RequestRouter(self._node, self._leases, reader)
         self._grpc = GrpcServer(
             _address(settings.address),
-            self._serve,
-            ControlRequest,
+            self._serve_grpc,
+            ControlRequest | ConsensusRequest,
             credentials,
         )
         self._frames = FrameRpcServer(
             _address(settings.member_address),
-            self._serve,
+            self._serve_frame,
             ControlRequest,
             tls,
         )
@@ -62,8 +73,12 @@
         return self._frames.address
 
     async def start(self, nursery: trio.Nursery) -> None:
-        """Serve in the nursery; ``OSError`` when an address is taken."""
-        await self._replica.start()
+        """Serve in the nursery.
+
+        Raises ``OSError`` when an address is taken, and here or in the
+        nursery ``StorageError`` when the disk cannot be trusted.
+        """
+        await self._node.open()
         await self._grpc.start()
         await self._frames.start(nursery)
         nursery.start_soon(self._run)
@@ -73,13 +88,43 @@
         await self._grpc.close()
         await self._frames.close()
         self._scope.cancel()
+        await self._node.close()
 
     async def _run(self) -> None:
         with self._scope:
-            await self._leases.run()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._leases.run)
+                nursery.start_soon(self._node.run)
+
+    async def _serve_grpc(
+        self,
+        request: ControlRequest | ConsensusRequest,
+    ) -> ControlReply | ConsensusReply:
+        if isinstance(request, ConsensusRequest):
+            return await self._node.serve(request)
+        reply = await self._router.serve(request)
+        return _redirected(reply, self._leader_address())
+
+    async def _serve_frame(self, request: ControlRequest) -> ControlReply:
+        reply = await self._router.serve(request)
+        return _redirected(reply, self._leader_member_address())
+
+    def _leader_address(self) -> str:
+        leader = self._node.leader
+        return '' if leader is None else leader.address
+
+    def _leader_member_address(self) -> str:
+        leader = self._node.leader
+        return '' if leader is None else leader.member_address
+
 
-    async def _serve(self, request: ControlRequest) -> ControlReply:
-        return await self._router.serve(request)
+def _redirected(reply: ControlReply, leader: str) -> ControlReply:
+    """Name the leader by the address of the caller's transport."""
+    if not isinstance(reply, Rejected):
+        return reply
+    if reply.reason is not FailureReason.NOT_LEADER:
+        return reply
+    return Rejected(reply.reason, leader, reply.run_state)
 
 
 def _address(text: str) -> Address:
