--- /dev/null
+++ b/src/borageward/entry/core.py
@@ -0,0 +1,176 @@
+"""Everything of an entry but its listeners."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable
+
+import trio
+
+from borageward.clock import Clock
+from borageward.configuration import Configuration
+from borageward.entry.controlcalls import ControlCalls
+from borageward.entry.corelinks import CoreLinks
+from borageward.entry.desk import JobDesk
+from borageward.entry.directory import Directory
+from borageward.entry.dispatcher import Dispatcher
+from borageward.entry.guardlink import LinkContext
+from borageward.entry.jobrun import RunContext
+from borageward.entry.openjobs import AnswerStore, OpenJobs
+from borageward.entry.peers import EntryPeers
+from borageward.entry.recorder import OutcomeRecorder
+from borageward.entry.startgate import StartGate
+from borageward.entry.takeover import Takeover, new_fencing
+from borageward.membership import MembershipSession, SessionOptions
+from borageward.messages.control import RegisterEntry
+from borageward.messages.guard import Hello
+from borageward.policy import DispatchPolicy
+from borageward.settings import EntrySettings
+from borageward.telemetry import EventLog
+
+_NONCE_BYTES = 16
+_HEARTBEAT_TIMEOUT_MS = 1000.0
+_RECORD_PATIENCE_S = 3.0
+
+
+class EntryCore:
+    """Wires the parts of an entry together.
+
+    Implements ``MembershipListener``. ``addresses`` returns the link address
+    and the HTTP address once they are bound.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        place: str,
+        clock: Clock,
+        log: EventLog,
+        policy: DispatchPolicy,
+        links: CoreLinks,
+        addresses: Callable[[], tuple[str, str]],
+    ) -> None:
+        """Prepare the parts; nothing runs before ``start``."""
+        self._settings = settings
+        self._place = place
+        self._log = log
+        self._policy = policy
+        self._addresses = addresses
+        self._control = links.control
+        self._session = self._new_session(clock)
+        gate = StartGate(self._session)
+        jobs = OpenJobs()
+        self._dispatcher = Dispatcher(policy, jobs, gate, clock)
+        self._directory = Directory(
+            links.control,
+            LinkContext(
+                links.dial,
+                self._hello,
+                self._dispatcher.settlement,
+                clock,
+            ),
+            self._dispatcher.settlement.links,
+            settings.name,
+            settings.guard_subset_size,
+        )
+        self._calls = ControlCalls(
+            links.control,
+            lambda: self._session.incarnation,
+            settings.claim_batch_wait_ms,
+        )
+        self._recorder = OutcomeRecorder(self._calls, clock)
+        self._peers = EntryPeers(links.open_peer, self._directory)
+        fencing = new_fencing(links.control, self._directory, gate)
+        self._desk = JobDesk(
+            jobs,
+            policy,
+            RunContext(
+                self._calls,
+                self._dispatcher,
+                Takeover(fencing, self._dispatcher, clock),
+                self._peers,
+                self._recorder,
+                AnswerStore(clock),
+                gate,
+                clock,
+            ),
+        )
+
+    @property
+    def desk(self) -> JobDesk:
+        """Return the desk that serves jobs."""
+        return self._desk
+
+    @property
+    def session(self) -> MembershipSession:
+        """Return the membership session."""
+        return self._session
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Register with control, follow the membership and serve jobs."""
+        await self._calls.start(nursery)
+        await self._recorder.start(nursery)
+        await self._desk.start(nursery)
+        nursery.start_soon(self._dispatcher.run)
+        await self._directory.start(nursery)
+        await self._session.start(nursery)
+
+    async def drain(self) -> None:
+        """Refuse new jobs, answer the open ones and record them."""
+        self._log.event('entry_draining')
+        await self._desk.drain()
+        with trio.move_on_after(_RECORD_PATIENCE_S):
+            await self._recorder.wait_idle()
+
+    async def close(self) -> None:
+        """End the incarnation and close the links."""
+        await self._session.close()
+        await self._peers.close()
+        await self._control.close()
+        self._log.event('entry_closed')
+
+    def incarnation_started(self, incarnation: int) -> None:
+        """Greet the guards under a new incarnation."""
+        self._log.event('incarnation_started', incarnation=incarnation)
+        self._desk.end_incarnation(incarnation)
+        self._directory.reconnect()
+        self._dispatcher.wake()
+
+    def incarnation_ended(self) -> None:
+        """Start nothing more; the open jobs can no longer be recorded."""
+        self._log.warning('incarnation_ended')
+        self._desk.end_incarnation(0)
+
+    def entries_ended(self, incarnations: tuple[int, ...]) -> None:
+        """Ignore: guards fence ended entries, and takeovers ask them."""
+
+    def configuration_changed(self, configuration: Configuration) -> None:
+        """Use a newer configuration."""
+        self._desk.configure(configuration)
+        self._policy.configure(configuration, self._session.live_entries)
+        self._dispatcher.wake()
+
+    def _new_session(self, clock: Clock) -> MembershipSession:
+        return MembershipSession(
+            self._control,  # type: ignore[arg-type]
+            clock,
+            self._registration,
+            self,
+            SessionOptions(
+                self._settings.heartbeat_interval_ms,
+                _HEARTBEAT_TIMEOUT_MS,
+            ),
+        )
+
+    def _registration(self) -> RegisterEntry:
+        link_address, http_address = self._addresses()
+        return RegisterEntry(
+            secrets.token_bytes(_NONCE_BYTES),
+            self._settings.name,
+            self._place,
+            link_address,
+            http_address,
+        )
+
+    def _hello(self) -> Hello:
+        return Hello(self._session.incarnation, self._settings.name)
--- /dev/null
+++ b/src/borageward/entry/dispatcher.py
@@ -0,0 +1,169 @@
+"""Hands waiting tasks to the guards that the policy chooses."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import trio
+
+from borageward.clock import Clock, Milliseconds
+from borageward.entry.guardlink import GuardLink
+from borageward.entry.job import Job, JobTask, Placement
+from borageward.entry.openjobs import OpenJobs
+from borageward.entry.settlement import Settlement
+from borageward.entry.startgate import StartGate
+from borageward.failures import Failure, FailureReason, RunState
+from borageward.messages.guard import StartTasks, Withdraw
+from borageward.policy import Assignment, DispatchPolicy
+
+# An entry without a valid lease looks again after this time.
+_GATE_POLL_MS = 50.0
+_IDLE_WAKE_MS = 250.0
+_MS_PER_SECOND = 1000.0
+
+
+class Dispatcher:
+    """Runs the policy after every event of an entry."""
+
+    def __init__(
+        self,
+        policy: DispatchPolicy,
+        jobs: OpenJobs,
+        gate: StartGate,
+        clock: Clock,
+    ) -> None:
+        """Prepare the dispatcher of one entry."""
+        self._policy = policy
+        self._jobs = jobs
+        self._gate = gate
+        self._clock = clock
+        self._wake = trio.Event()
+        self._settlement = Settlement(policy, jobs, gate, clock, self.wake)
+
+    @property
+    def settlement(self) -> Settlement:
+        """Return the rules that the links report to."""
+        return self._settlement
+
+    def wake(self) -> None:
+        """Ask the policy again soon."""
+        self._wake.set()
+
+    def enqueue(self, job: Job, tasks: Iterable[JobTask]) -> None:
+        """Hand tasks of a claimed job to the policy."""
+        waiting = [task.waiting for task in tasks if task.outcome is None]
+        if waiting:
+            self._policy.enqueue(waiting, self._clock.now_ms())
+            self.wake()
+
+    def close_job(self, job: Job, reason: FailureReason) -> None:
+        """Start nothing more of a job and withdraw what is queued.
+
+        Linear in the number of open tasks of the job.
+        """
+        job.closing = reason
+        self._policy.cancel(job.job_id)
+        withdrawn: dict[int, list[JobTask]] = {}
+        for task in job.unresolved():
+            if task.placement is Placement.WAITING:
+                job.fail_task(task.waiting.index, Failure(reason))
+            else:
+                withdrawn.setdefault(task.guard, []).append(task)
+        for tasks in withdrawn.values():
+            self._withdraw(job, tasks)
+        self.wake()
+
+    def forget_job(self, job: Job, failure: Failure) -> None:
+        """Resolve what is still open of a closed job."""
+        for task in job.unresolved():
+            link = self._link_of(task)
+            if link is None:
+                job.fail_task(task.waiting.index, failure)
+            else:
+                self._settlement.give_up(link, job, task, failure)
+        self.wake()
+
+    async def run(self) -> None:
+        """Place tasks until cancelled."""
+        while True:
+            with trio.move_on_after(self._wait_ms() / _MS_PER_SECOND):
+                await self._wake.wait()
+            self._wake = trio.Event()
+            self._drop_expired()
+            self._place_all()
+
+    def _wait_ms(self) -> Milliseconds:
+        if not self._gate.is_open():
+            return _GATE_POLL_MS
+        now_ms = self._clock.now_ms()
+        wake_ms = self._policy.next_wake_ms(now_ms)
+        if wake_ms is None:
+            return _IDLE_WAKE_MS
+        return max(0, min(wake_ms - now_ms, _IDLE_WAKE_MS))
+
+    def _drop_expired(self) -> None:
+        for waiting in self._policy.expired(self._clock.now_ms()):
+            job = self._jobs.get(waiting.job_id)
+            if job is not None:
+                job.fail_task(
+                    waiting.index,
+                    Failure(FailureReason.DEADLINE_EXCEEDED),
+                )
+
+    def _place_all(self) -> None:
+        # Without a valid lease the queue keeps its tasks.
+        if not self._gate.is_open():
+            return
+        for assignment in self._policy.assignments(self._clock.now_ms()):
+            self._place(assignment)
+
+    def _place(self, assignment: Assignment) -> None:
+        job = self._jobs.get(assignment.job_id)
+        link = self._settlement.active.get(assignment.worker)
+        if job is None or link is None:
+            for waiting in assignment.tasks:
+                self._policy.task_lost(assignment.worker, waiting)
+            if job is not None:
+                self._fail_unplaced(job, assignment)
+            return
+        for task in assignment.tasks:
+            job.place(task.index, link.incarnation, link.worker)
+            link.hold(job.job_id, task.index)
+        link.post(self._start(job, assignment))
+
+    def _fail_unplaced(self, job: Job, assignment: Assignment) -> None:
+        for waiting in assignment.tasks:
+            job.fail_task(
+                waiting.index,
+                Failure(FailureReason.NO_RUNNER, run_state=RunState.NOT_RUN),
+            )
+
+    def _start(self, job: Job, assignment: Assignment) -> StartTasks:
+        return StartTasks(
+            job.job_id,
+            job.owner,
+            job.request.service,
+            job.request.urgent,
+            max(0, job.deadline_ms - self._clock.now_ms()),
+            tuple(job.tasks[task.index].spec() for task in assignment.tasks),
+        )
+
+    def _withdraw(self, job: Job, tasks: list[JobTask]) -> None:
+        link = self._link_of(tasks[0])
+        if link is None:
+            return
+        for task in tasks:
+            if task.placement is Placement.POSTED:
+                self._settlement.unsent(link, job, task)
+        by_attempt: dict[int, list[int]] = {}
+        for sent in tasks:
+            if sent.placement is Placement.SENT:
+                indexes = by_attempt.setdefault(sent.attempt, [])
+                indexes.append(sent.waiting.index)
+        for attempt, withdrawn in by_attempt.items():
+            link.post(
+                Withdraw(job.job_id, job.owner, tuple(withdrawn), attempt),
+            )
+
+    def _link_of(self, task: JobTask) -> GuardLink | None:
+        return self._settlement.links.get(task.guard)
--- /dev/null
+++ b/src/borageward/entry/guardconnection.py
@@ -0,0 +1,91 @@
+"""One connection of a guard link: greeting, reading and writing."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from borageward.failures import Failure
+from borageward.messages.guard import (
+    EntryToGuard,
+    GuardToEntry,
+    Hello,
+    Welcome,
+)
+from borageward.transport import FrameConnection, LinkClosed
+
+Dial = Callable[[str], Awaitable[trio.abc.Stream]]
+
+HANDSHAKE_TIMEOUT_S = 1.0
+
+
+class GuardConnection:
+    """Duplex connection to a guard; ends when either direction breaks."""
+
+    def __init__(self, frames: FrameConnection[GuardToEntry]) -> None:
+        """Wrap a connection that was opened."""
+        self._frames = frames
+
+    async def greet(self, hello: Hello) -> Welcome | None:
+        """Return the guard's answer to ``Hello``, or nothing in time."""
+        with trio.move_on_after(HANDSHAKE_TIMEOUT_S):
+            try:
+                await self._frames.send(hello)
+            except LinkClosed:
+                return None
+            reply = await self._receive()
+            return reply if isinstance(reply, Welcome) else None
+        return None
+
+    async def run(
+        self,
+        receive: Callable[[GuardToEntry], None],
+        next_message: Callable[[], Awaitable[EntryToGuard]],
+    ) -> None:
+        """Pass messages in both directions until the connection breaks."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._write, next_message, nursery)
+            message = await self._receive()
+            while message is not None:
+                receive(message)
+                message = await self._receive()
+            nursery.cancel_scope.cancel()
+
+    async def close(self) -> None:
+        """Close the connection at once."""
+        await self._frames.close()
+
+    async def _receive(self) -> GuardToEntry | None:
+        try:
+            message = await self._frames.receive()
+        except LinkClosed:
+            return None
+        return None if isinstance(message, Failure) else message
+
+    async def _write(
+        self,
+        next_message: Callable[[], Awaitable[EntryToGuard]],
+        nursery: trio.Nursery,
+    ) -> None:
+        while True:
+            message = await next_message()
+            try:
+                await self._frames.send(message)
+            except LinkClosed:
+                nursery.cancel_scope.cancel()
+                return
+
+
+async def open_connection(
+    dial: Dial,
+    address: str,
+) -> GuardConnection | None:
+    """Return a connection, or nothing when the guard cannot be reached."""
+    with trio.move_on_after(HANDSHAKE_TIMEOUT_S):
+        try:
+            stream = await dial(address)
+        except (OSError, trio.BrokenResourceError):
+            return None
+        return GuardConnection(FrameConnection(stream, GuardToEntry))
+    return None
--- /dev/null
+++ b/src/borageward/entry/guardlink.py
@@ -0,0 +1,316 @@
+"""Link of an entry to one guard incarnation."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+import trio
+
+from borageward.clock import Clock, Milliseconds
+from borageward.entry.acknowledgements import Acknowledgements
+from borageward.entry.guardconnection import (
+    Dial,
+    GuardConnection,
+    open_connection,
+)
+from borageward.failures import Failure, FailureReason, RunState
+from borageward.identity import JobId
+from borageward.messages.control import GuardMember
+from borageward.messages.guard import (
+    EntryToGuard,
+    Fence,
+    Fenced,
+    GuardToEntry,
+    Hello,
+    Settle,
+    Settled,
+    StartTasks,
+    Welcome,
+)
+
+_BACKOFF_MIN_MS = 20.0
+_BACKOFF_MAX_MS = 500.0
+# An ended guard that sends nothing for this long is given up.
+_SILENCE_MS = 1000.0
+
+
+class LinkEvents(Protocol):
+    """Reacts to what happens on the links."""
+
+    def linked(self, link: GuardLink) -> None:
+        """Settle what was open and place work at the guard."""
+
+    def settle_open(self, link: GuardLink) -> None:
+        """Ask for the state of every task that was sent."""
+
+    def unlinked(self, link: GuardLink) -> None:
+        """Place no more work; what was sent stays open."""
+
+    def before_start(
+        self,
+        link: GuardLink,
+        message: StartTasks,
+    ) -> StartTasks | None:
+        """Return what may be written now, marked as sent, or nothing."""
+
+    def received(self, link: GuardLink, message: GuardToEntry) -> None:
+        """Use a message of the guard."""
+
+    def lost(self, link: GuardLink, failure: Failure) -> None:
+        """Give up every open task of the guard."""
+
+
+@attrs.frozen(slots=True)
+class LinkContext:
+    """What all links of an entry share."""
+
+    dial: Dial
+    hello: Callable[[], Hello]
+    events: LinkEvents
+    clock: Clock
+
+
+class GuardLink:
+    """Connects to a guard until control has ended its incarnation.
+
+    ``open_tasks`` holds the tasks posted or sent and not yet resolved.
+    """
+
+    def __init__(
+        self,
+        member: GuardMember,
+        context: LinkContext,
+        placeable: bool,
+    ) -> None:
+        """Prepare a link; a link that is not placeable only settles."""
+        self.member = member
+        self.placeable = placeable
+        self.pins = 0
+        self.open_tasks: dict[JobId, set[int]] = {}
+        self.welcome: Welcome | None = None
+        self.acknowledgements = Acknowledgements(self.post)
+        self._context = context
+        self._outbox: deque[EntryToGuard] = deque()
+        self._wake = trio.Event()
+        self._scope = trio.CancelScope()
+        self._connection_scope = trio.CancelScope()
+        self._retired = trio.Event()
+        self._up = trio.Event()
+        self._received_ms: Milliseconds = 0
+        self._replies: dict[JobId | int, _Reply] = {}
+
+    @property
+    def incarnation(self) -> int:
+        """Return the guard incarnation."""
+        return self.member.incarnation
+
+    @property
+    def worker(self) -> str:
+        """Return the worker's name."""
+        return self.member.worker
+
+    @property
+    def is_up(self) -> bool:
+        """Tell whether the guard has answered on the open connection."""
+        return self.welcome is not None
+
+    def hold(self, job_id: JobId, index: int) -> None:
+        """Count a task as open at the guard."""
+        self.open_tasks.setdefault(job_id, set()).add(index)
+
+    def release(self, job_id: JobId, index: int) -> None:
+        """Count a task as no longer open at the guard."""
+        indexes = self.open_tasks.get(job_id)
+        if indexes is None:
+            return
+        indexes.discard(index)
+        if not indexes:
+            self.open_tasks.pop(job_id)
+
+    def post(self, message: EntryToGuard) -> None:
+        """Send a message soon; dropped when the link breaks before."""
+        if self.is_up:
+            self._outbox.append(message)
+            self._wake.set()
+
+    def make_placeable(self) -> None:
+        """Start to place work at the guard."""
+        self.placeable = True
+        if self.is_up:
+            self._context.events.linked(self)
+
+    def make_unplaceable(self) -> None:
+        """Place no more work at the guard; what was sent stays open."""
+        if self.placeable:
+            self.placeable = False
+            self._context.events.unlinked(self)
+
+    def reconnect(self) -> None:
+        """Start a new connection, for a new incarnation of the entry."""
+        self._connection_scope.cancel()
+
+    def retire(self) -> None:
+        """End the link once its open tasks are settled or given up."""
+        self._retired.set()
+
+    def close(self) -> None:
+        """End the link at once."""
+        self._scope.cancel()
+
+    async def run(self) -> None:
+        """Keep the link open."""
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._connect_forever)
+                nursery.start_soon(self.acknowledgements.run)
+                await self._retired.wait()
+                await self._wind_down()
+                nursery.cancel_scope.cancel()
+
+    async def fence(self, message: Fence) -> Fenced | None:
+        """Return the guard's confirmation; the caller sets a timeout."""
+        reply = await self._ask(message.ended, message)
+        return reply if isinstance(reply, Fenced) else None
+
+    async def settle(self, message: Settle) -> Settled | None:
+        """Return the states of tasks; the caller sets a timeout."""
+        reply = await self._ask(message.job_id, message)
+        return reply if isinstance(reply, Settled) else None
+
+    async def _ask(
+        self,
+        key: JobId | int,
+        message: Fence | Settle,
+    ) -> GuardToEntry | None:
+        reply = self._replies.setdefault(key, _Reply())
+        try:  # noqa: WPS501 the slot is freed on every path
+            while reply.message is None:
+                await self._up.wait()
+                self.post(message)
+                await reply.wait()
+        finally:
+            self._replies.pop(key, None)
+        return reply.message
+
+    async def _connect_forever(self) -> None:
+        backoff_ms = _BACKOFF_MIN_MS
+        while True:
+            if await self._connect_once():
+                backoff_ms = _BACKOFF_MIN_MS
+            await self._context.clock.sleep_ms(backoff_ms)
+            backoff_ms = min(backoff_ms * 2, _BACKOFF_MAX_MS)
+
+    async def _connect_once(self) -> bool:
+        self._connection_scope = trio.CancelScope()
+        with self._connection_scope:
+            connection = await open_connection(
+                self._context.dial,
+                self.member.link_address,
+            )
+            if connection is None:
+                return False
+            try:  # noqa: WPS501 the link is down on every path
+                return await self._serve(connection)
+            finally:
+                self._set_down()
+                await connection.close()
+        return False
+
+    async def _serve(self, connection: GuardConnection) -> bool:
+        welcome = await connection.greet(self._context.hello())
+        if welcome is None:
+            return False
+        if welcome.guard_incarnation != self.incarnation:
+            self._context.events.lost(self, _restarted())
+            return False
+        self._set_up(welcome)
+        await connection.run(self._receive, self._next_message)
+        return True
+
+    async def _next_message(self) -> EntryToGuard:
+        while True:
+            if not self._outbox:
+                self._wake = trio.Event()
+                await self._wake.wait()
+                continue
+            message: EntryToGuard | None = self._outbox.popleft()
+            if isinstance(message, StartTasks):
+                message = self._context.events.before_start(self, message)
+            if message is not None:
+                return message
+
+    def _receive(self, message: GuardToEntry) -> None:
+        self._received_ms = self._context.clock.now_ms()
+        reply: _Reply | None = None
+        if isinstance(message, Fenced):
+            reply = self._replies.get(message.ended)
+        elif isinstance(message, Settled):
+            reply = self._replies.get(message.job_id)
+        if reply is None:
+            self._context.events.received(self, message)
+        else:
+            reply.arrived(message)
+
+    def _set_up(self, welcome: Welcome) -> None:
+        self.welcome = welcome
+        self._up.set()
+        self._context.events.linked(self)
+
+    def _set_down(self) -> None:
+        if self.welcome is None:
+            return
+        self.welcome = None
+        self._up = trio.Event()
+        self._outbox.clear()
+        for reply in self._replies.values():
+            reply.interrupt()
+        self._context.events.unlinked(self)
+
+    async def _wind_down(self) -> None:
+        """Ask an ended guard for its tasks for as long as it answers."""
+        self.make_unplaceable()
+        while self.is_up and self.open_tasks:
+            asked_ms = self._context.clock.now_ms()
+            self._context.events.settle_open(self)
+            await self._context.clock.sleep_ms(_SILENCE_MS)
+            if self._received_ms < asked_ms:
+                break
+        self._context.events.lost(self, _unreachable())
+
+
+class _Reply:
+    """Slot for the reply to a fence or a settlement."""
+
+    def __init__(self) -> None:
+        self.message: GuardToEntry | None = None
+        self._event = trio.Event()
+
+    def arrived(self, message: GuardToEntry) -> None:
+        self.message = message
+        self._event.set()
+
+    def interrupt(self) -> None:
+        self._event.set()
+        self._event = trio.Event()
+
+    async def wait(self) -> None:
+        await self._event.wait()
+
+
+def _restarted() -> Failure:
+    return Failure(
+        FailureReason.GUARD_RESTARTED,
+        'the guard restarted and cannot tell whether the task ran',
+        RunState.MAY_HAVE_RUN,
+    )
+
+
+def _unreachable() -> Failure:
+    return Failure(
+        FailureReason.GUARD_UNREACHABLE,
+        'control ended the guard before the task was settled',
+        RunState.MAY_HAVE_RUN,
+    )
--- /dev/null
+++ b/src/borageward/entry/http.py
@@ -0,0 +1,168 @@
+"""HTTP interface of an entry as an ASGI application.
+
+The job paths are served without a framework, because quart's cost for each
+request is part of the added response time; quart serves the rest.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, MutableMapping
+from http import HTTPStatus
+from typing import Any, TypeAlias
+
+import trio
+
+from borageward.entry.answers import Answer, refused_answer
+from borageward.entry.body import BodyReader
+from borageward.entry.desk import JobDesk
+from borageward.entry.request import decode_request
+from borageward.failures import Failure, FailureReason
+from borageward.identity import parse_job_id
+from borageward.telemetry import EventLog, Metrics
+
+Scope: TypeAlias = MutableMapping[str, Any]
+Receive: TypeAlias = Callable[[], Awaitable[Any]]
+Send: TypeAlias = Callable[[Any], Awaitable[None]]
+Application: TypeAlias = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+MAX_DEADLINE_MS = 600_000.0
+
+_JOBS = '/v1/jobs'
+_JOB_PREFIX = '/v1/jobs/'
+_JSON = (b'content-type', b'application/json')
+
+
+class HttpApplication:
+    """Routes requests; every answer is typed, none carries a traceback."""
+
+    def __init__(
+        self,
+        desk: JobDesk,
+        other: Application,
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        """Prepare the application; ``other`` serves all other paths."""
+        self._desk = desk
+        self._other = other
+        self._log = log
+        self._metrics = metrics
+        self._bodies = BodyReader()
+        self._active = 0
+        self._idle = trio.Event()
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Serve one request, or the lifespan of the server."""
+        if scope['type'] != 'http':
+            await self._other(scope, receive, send)
+            return
+        self._active += 1
+        try:  # noqa: WPS501 the request ends on every path
+            await self._serve(scope, receive, send)
+        finally:
+            self._active -= 1
+            if self._active == 0:
+                self._idle.set()
+                self._idle = trio.Event()
+
+    async def drain(self) -> None:
+        """Wait until every request in progress is answered."""
+        while self._active:
+            await self._idle.wait()
+
+    async def _serve(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        try:
+            answer = await self._answer(scope, receive)
+        except Exception as error:  # noqa: BLE001
+            self._log.warning('request_failed', error=repr(error))
+            answer = _internal_error()
+        if answer is None:
+            await self._other(scope, receive, send)
+            return
+        self._metrics.count(f'http.{answer.status}')
+        await _send_answer(send, answer)
+
+    async def _answer(self, scope: Scope, receive: Receive) -> Answer | None:
+        """Return the answer, or nothing for a path of another application."""
+        path = scope['path']
+        method = scope['method']
+        if path == _JOBS:
+            if method == 'POST':
+                return await self._submit(scope, receive)
+            return _wrong_method()
+        if path.startswith(_JOB_PREFIX):
+            return await self._one_job(method, path[len(_JOB_PREFIX) :])
+        if path == '/healthz':
+            return Answer(HTTPStatus.OK, b'{"state":"ok"}')
+        if path == '/readyz':
+            return self._readiness()
+        return None
+
+    async def _submit(self, scope: Scope, receive: Receive) -> Answer:
+        limit = self._desk.configuration.limits.max_body_bytes
+        async with self._bodies.read(scope, receive, limit) as body:
+            if isinstance(body, Failure):
+                return refused_answer(None, body)
+            request = decode_request(body, MAX_DEADLINE_MS)
+        if isinstance(request, Failure):
+            return refused_answer(None, request)
+        return await self._desk.submit(request)
+
+    async def _one_job(self, method: str, text: str) -> Answer:
+        job_id = parse_job_id(text)
+        if isinstance(job_id, Failure):
+            return refused_answer(None, job_id)
+        if method == 'GET':
+            return await self._desk.read(job_id)
+        if method == 'DELETE':
+            return await self._desk.cancel(job_id)
+        return _wrong_method()
+
+    def _readiness(self) -> Answer:
+        if self._desk.is_ready:
+            return Answer(HTTPStatus.OK, b'{"state":"ready"}')
+        return Answer(HTTPStatus.SERVICE_UNAVAILABLE, b'{"state":"not_ready"}')
+
+
+async def _send_answer(send: Send, answer: Answer) -> None:
+    headers = [
+        _JSON,
+        (b'content-length', str(len(answer.body)).encode()),
+    ]
+    if answer.retry_after_s:
+        hint = str(answer.retry_after_s).encode()
+        headers.append((b'retry-after', hint))
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': int(answer.status),
+            'headers': headers,
+        },
+    )
+    await send({'type': 'http.response.body', 'body': answer.body})
+
+
+def _wrong_method() -> Answer:
+    refused = refused_answer(
+        None,
+        Failure(FailureReason.INVALID_REQUEST, 'method not allowed'),
+    )
+    return Answer(HTTPStatus.METHOD_NOT_ALLOWED, refused.body)
+
+
+def _internal_error() -> Answer:
+    refused = refused_answer(
+        None,
+        Failure(FailureReason.INVALID_REQUEST, 'internal error'),
+    )
+    return Answer(HTTPStatus.INTERNAL_SERVER_ERROR, refused.body)
--- /dev/null
+++ b/src/borageward/entry/openapi.py
@@ -0,0 +1,128 @@
+"""Description of the HTTP interface, and its quart application."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from quart_trio import QuartTrio
+
+from borageward.entry.request import MAX_DEPTH, MAX_TASKS
+
+_JSON = 'application/json'
+_TYPE = 'type'
+_NAME = {_TYPE: 'string', 'minLength': 1, 'maxLength': 64}  # noqa: WPS407
+_REFUSALS = {  # noqa: WPS407
+    '400': 'the request is not valid',
+    '404': 'no job with this id is known',
+    '409': 'the id names another job, or the job was cancelled',
+    '410': 'the id is too old, or the answer is no longer kept',
+    '413': 'the body is too large',
+    '422': 'the service or the time of the id is refused, or a task failed',
+    '429': 'overloaded; not run; see Retry-After',
+    '502': 'a part of the system failed; see the state of each task',
+    '503': 'refused for now; not run; see Retry-After',
+    '504': 'the deadline passed; see the state of each task',
+}
+
+
+def quart_application() -> QuartTrio:
+    """Return the application of the paths beside the jobs."""
+    application = QuartTrio('borageward')
+    document = openapi_document()
+
+    @application.get('/openapi.json')
+    async def describe() -> dict[str, Any]:  # noqa: WPS430
+        return document
+
+    return application
+
+
+def openapi_document() -> dict[str, Any]:
+    """Return the OpenAPI document."""
+    return {
+        'openapi': '3.1.0',
+        'info': {'title': 'Borageward', 'version': '1'},
+        'paths': {
+            '/v1/jobs': {'post': _submit()},
+            '/v1/jobs/{id}': {
+                'parameters': [_id_parameter()],
+                'get': _operation('Read the state or the answer of a job.'),
+                'delete': _operation('Cancel a job.'),
+            },
+            '/healthz': {'get': _health('The process runs.')},
+            '/readyz': {'get': _health('The entry takes new jobs.')},
+        },
+        'components': {'schemas': {'Job': _job(), 'Task': _task()}},
+    }
+
+
+def _submit() -> dict[str, Any]:
+    operation = _operation('Submit a job and wait for its answer.')
+    operation['requestBody'] = {
+        'required': True,
+        'content': {_JSON: {'schema': {'$ref': '#/components/schemas/Job'}}},
+    }
+    return operation
+
+
+def _operation(summary: str) -> dict[str, Any]:
+    responses = {
+        status: {'description': text} for status, text in _REFUSALS.items()
+    }
+    responses['200'] = {'description': 'the complete answer'}
+    responses['202'] = {'description': 'the job runs'}
+    return {'summary': summary, 'responses': responses}
+
+
+def _health(summary: str) -> dict[str, Any]:
+    return {
+        'summary': summary,
+        'responses': {
+            '200': {'description': 'yes'},
+            '503': {'description': 'no'},
+        },
+    }
+
+
+def _id_parameter() -> dict[str, Any]:
+    return {
+        'name': 'id',
+        'in': 'path',
+        'required': True,
+        'schema': {_TYPE: 'string', 'format': 'uuid'},
+    }
+
+
+def _job() -> dict[str, Any]:
+    return {
+        _TYPE: 'object',
+        'additionalProperties': False,
+        'required': ['id', 'service', 'deadline_ms', 'priority', 'tasks'],
+        'properties': {
+            'id': {_TYPE: 'string', 'format': 'uuid'},
+            'service': _NAME,
+            'deadline_ms': {_TYPE: 'integer', 'minimum': 1},
+            'priority': {'enum': ['normal', 'urgent']},
+            'tasks': {
+                _TYPE: 'array',
+                'minItems': 1,
+                'maxItems': MAX_TASKS,
+                'items': {'$ref': '#/components/schemas/Task'},
+            },
+        },
+    }
+
+
+def _task() -> dict[str, Any]:
+    return {
+        _TYPE: 'object',
+        'additionalProperties': False,
+        'required': ['kind', 'payload', 'idempotent'],
+        'properties': {
+            'kind': _NAME,
+            'payload': {'description': f'JSON, at most {MAX_DEPTH} deep'},
+            'idempotent': {_TYPE: 'boolean'},
+            'declared_size': {_TYPE: 'integer', 'minimum': 0},
+            'declared_ms': {_TYPE: 'number', 'minimum': 0},
+        },
+    }
--- /dev/null
+++ b/src/borageward/entry/peerserver.py
@@ -0,0 +1,52 @@
+"""Serves the requests of other entries."""
+
+from __future__ import annotations
+
+import attrs
+
+from borageward.entry.answers import Answer
+from borageward.entry.desk import JobDesk
+from borageward.entry.http import MAX_DEADLINE_MS
+from borageward.entry.request import decode_request
+from borageward.failures import Failure
+from borageward.messages.base import Rejected
+from borageward.messages.entry import (
+    EntryReply,
+    EntryRequest,
+    ForwardJob,
+    JobAnswer,
+    ReadJob,
+)
+
+
+class PeerHandler:
+    """Answers for the jobs that this entry owns."""
+
+    def __init__(self, desk: JobDesk) -> None:
+        """Prepare a handler for a desk."""
+        self._desk = desk
+
+    async def serve(self, request: EntryRequest) -> EntryReply:
+        """Return the answer as it goes to the other entry's caller."""
+        if isinstance(request, ForwardJob):
+            return await self._forwarded(request)
+        if isinstance(request, ReadJob):
+            answer = await self._desk.read(request.job_id, local=True)
+        else:
+            answer = await self._desk.cancel(request.job_id, local=True)
+        return _reply(answer)
+
+    async def _forwarded(self, message: ForwardJob) -> EntryReply:
+        request = decode_request(message.body, MAX_DEADLINE_MS)
+        if isinstance(request, Failure):
+            return Rejected.of(request)
+        deadline_ms = min(request.deadline_ms, message.remaining_ms)
+        return _reply(
+            await self._desk.submit(
+                attrs.evolve(request, deadline_ms=deadline_ms),
+            ),
+        )
+
+
+def _reply(answer: Answer) -> JobAnswer:
+    return JobAnswer(answer.status, answer.body, answer.retry_after_s)
--- /dev/null
+++ b/src/borageward/entry/recorder.py
@@ -0,0 +1,89 @@
+"""Recording of outcomes in the control log."""
+
+from __future__ import annotations
+
+import trio
+
+from borageward.clock import Clock, Milliseconds
+from borageward.entry.controlcalls import ControlCalls
+from borageward.entry.job import Job
+from borageward.entry.verdict import outcome_kind
+from borageward.failures import Failure, FailureReason
+from borageward.identity import JobId
+from borageward.messages.control import JobFinish, OutcomeKind
+
+_RETRY_MS = 200.0
+_IDLE_POLL_MS = 20.0
+# A caller waits no longer than this for the record of a ``not_run``.
+NOT_RUN_PATIENCE_MS = 6000.0
+
+
+class OutcomeRecorder:
+    """Records each outcome until control has accepted or rejected it.
+
+    A job stays pending until then, because its claim alone does not tell a
+    resubmission that the job has run.
+    """
+
+    def __init__(self, calls: ControlCalls, clock: Clock) -> None:
+        """Prepare a recorder; ``start`` gives it a nursery."""
+        self._calls = calls
+        self._clock = clock
+        self._pending: dict[JobId, OutcomeKind] = {}
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def pending(self) -> int:
+        """Return the number of outcomes that are not recorded."""
+        return len(self._pending)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Record later outcomes in the nursery."""
+        self._nursery = nursery
+
+    def pending_outcome(self, job_id: JobId) -> OutcomeKind | None:
+        """Return the outcome of a job that is not recorded yet."""
+        return self._pending.get(job_id)
+
+    async def wait_idle(self) -> None:
+        """Wait until every outcome is recorded or rejected."""
+        while self._pending:
+            await self._clock.sleep_ms(_IDLE_POLL_MS)
+
+    def record_later(self, job: Job) -> None:
+        """Record an outcome after its answer."""
+        self._pending[job.job_id] = outcome_kind(job.outcomes())
+        if self._nursery is not None:
+            self._nursery.start_soon(self._record, job)
+
+    async def record_now(self, job: Job) -> bool:
+        """Record an outcome before its answer; false when that failed."""
+        deadline_ms = self._clock.now_ms() + NOT_RUN_PATIENCE_MS
+        recorded = await self._attempts(job, deadline_ms)
+        return recorded is True
+
+    async def _record(self, job: Job) -> None:
+        await self._attempts(job, None)
+        self._pending.pop(job.job_id, None)
+
+    async def _attempts(
+        self,
+        job: Job,
+        deadline_ms: Milliseconds | None,
+    ) -> bool | Failure:
+        finish = JobFinish(job.job_id, outcome_kind(job.outcomes()))
+        while True:
+            recorded = await self._calls.finish(job.owner, finish)
+            if not isinstance(recorded, Failure) or _is_final(recorded):
+                return recorded
+            if deadline_ms is not None and self._clock.now_ms() > deadline_ms:
+                return recorded
+            await self._clock.sleep_ms(_RETRY_MS)
+
+
+def _is_final(failure: Failure) -> bool:
+    return failure.reason in {
+        FailureReason.INCARNATION_ENDED,
+        FailureReason.OWNER_CHANGED,
+        FailureReason.ALREADY_FINISHED,
+    }
--- /dev/null
+++ b/src/borageward/entry/request.py
@@ -0,0 +1,127 @@
+"""Decoding of a caller's job request within fixed bounds."""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated, Literal
+
+import attrs
+import msgspec
+
+from borageward.clock import Milliseconds
+from borageward.failures import Failure, FailureReason
+from borageward.identity import JobId, body_digest, parse_job_id
+
+MAX_TASKS = 150
+MAX_DEPTH = 32
+MAX_NAME_CHARACTERS = 64
+_MAX_DECLARED_BYTES = 9_007_199_254_740_992
+_MAX_DECLARED_MS = 86_400_000
+
+_Name = Annotated[
+    str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARACTERS)
+]
+_BRACKETS = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]')
+
+
+class TaskBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One task as a caller sends it; declared figures are never trusted."""
+
+    kind: _Name
+    payload: msgspec.Raw
+    idempotent: bool
+    declared_size: Annotated[
+        int, msgspec.Meta(ge=0, le=_MAX_DECLARED_BYTES)
+    ] = 0
+    declared_ms: Annotated[float, msgspec.Meta(ge=0, le=_MAX_DECLARED_MS)] = 0
+
+
+class _JobBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Request body of ``POST /v1/jobs``."""
+
+    id: str
+    service: _Name
+    deadline_ms: Annotated[int, msgspec.Meta(ge=1)]
+    priority: Literal['normal', 'urgent']
+    tasks: Annotated[
+        tuple[TaskBody, ...],
+        msgspec.Meta(min_length=1, max_length=MAX_TASKS),
+    ]
+
+
+_decoder = msgspec.json.Decoder(_JobBody)
+
+
+@attrs.frozen(slots=True)
+class JobRequest:
+    """A valid request; ``body`` is kept for the owner of the claim."""
+
+    job_id: JobId
+    service: str
+    urgent: bool
+    deadline_ms: Milliseconds
+    tasks: tuple[TaskBody, ...]
+    digest: bytes
+    body: bytes
+
+
+def decode_request(
+    body: bytes,
+    max_deadline_ms: Milliseconds,
+) -> JobRequest | Failure:
+    """Return the request, or ``INVALID_REQUEST`` with the reason."""
+    if _too_deep(body):
+        return _invalid(f'nested deeper than {MAX_DEPTH} levels')
+    try:
+        body.decode()
+    except UnicodeDecodeError:
+        return _invalid('body is not UTF-8')
+    try:
+        document = _decoder.decode(body)
+    except (msgspec.DecodeError, RecursionError) as error:
+        return _invalid(str(error))
+    if document.deadline_ms > max_deadline_ms:
+        return _invalid(f'deadline_ms is above {max_deadline_ms}')
+    return _request(document, body)
+
+
+def _request(document: _JobBody, body: bytes) -> JobRequest | Failure:
+    job_id = parse_job_id(document.id)
+    if isinstance(job_id, Failure):
+        return job_id
+    return JobRequest(
+        job_id,
+        document.service,
+        document.priority == 'urgent',
+        document.deadline_ms,
+        document.tasks,
+        _digest(document),
+        body,
+    )
+
+
+def _digest(document: _JobBody) -> bytes:
+    # A resubmission may carry a shorter deadline; it is the same job.
+    parts = [
+        (task.kind, task.payload, task.idempotent) for task in document.tasks
+    ]
+    return body_digest(msgspec.json.encode((document.service, parts)))
+
+
+def _too_deep(body: bytes) -> bool:
+    if body.count(b'[') + body.count(b'{') <= MAX_DEPTH:
+        return False
+    depth = 0
+    for token in _BRACKETS.finditer(body):
+        symbol = token.group()
+        if symbol in {b'[', b'{'}:
+            depth += 1
+        elif symbol in {b']', b'}'}:
+            depth -= 1
+        if depth > MAX_DEPTH:
+            return True
+    return False
+
+
+def _invalid(detail: str) -> Failure:
+    return Failure(FailureReason.INVALID_REQUEST, detail)
--- /dev/null
+++ b/src/borageward/entry/service.py
@@ -0,0 +1,175 @@
+"""The entry role: listeners around the core."""
+
+from __future__ import annotations
+
+import ssl
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from borageward.clock import Clock
+from borageward.controlclient import open_grpc_client
+from borageward.entry.batcher import Control
+from borageward.entry.core import EntryCore
+from borageward.entry.corelinks import CoreLinks
+from borageward.entry.http import Application, HttpApplication
+from borageward.entry.openapi import quart_application
+from borageward.entry.peerserver import PeerHandler
+from borageward.entry.server import HttpServer
+from borageward.failures import Failure
+from borageward.messages.entry import EntryReply, EntryRequest
+from borageward.policy import DispatchPolicy
+from borageward.settings import EntrySettings
+from borageward.telemetry import EventLog, Metrics
+from borageward.transport import (
+    Address,
+    FramePeer,
+    FrameRpcServer,
+    Peer,
+    parse_address,
+)
+
+if TYPE_CHECKING:
+    import grpc
+
+
+@attrs.frozen(slots=True)
+class EntryAccess:
+    """Credentials of an entry, each optional.
+
+    ``client`` is for links to guards and entries, ``server`` for links from
+    entries, ``http`` for callers, ``control`` for control. ``operators`` is
+    the application that serves the paths that are not the entry's own.
+    """
+
+    client: ssl.SSLContext | None = None
+    server: ssl.SSLContext | None = None
+    http: ssl.SSLContext | None = None
+    control: grpc.ChannelCredentials | None = None
+    operators: Application | None = None
+
+
+class EntryService:
+    """One entry process: HTTP for callers, links to the other roles."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        place: str,
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
+        policy: DispatchPolicy,
+        access: EntryAccess = EntryAccess(),  # noqa: B008, WPS404
+    ) -> None:
+        """Prepare the role; ``ValueError`` for an address that is none."""
+        self._settings = settings
+        self._clock = clock
+        self._access = access
+        self._scope = trio.CancelScope()
+        self._stopped = trio.Event()
+        self._nursery: trio.Nursery | None = None
+        self._core = EntryCore(
+            settings,
+            place,
+            clock,
+            log,
+            policy,
+            CoreLinks(self._open_control(), self._dial, self._open_peer),
+            self._addresses,
+        )
+        self._links = FrameRpcServer(
+            _address(settings.link_address),
+            PeerHandler(self._core.desk).serve,
+            EntryRequest,
+            access.server,
+        )
+        self._application = HttpApplication(
+            self._core.desk,
+            access.operators or quart_application(),  # type: ignore[arg-type]
+            log,
+            metrics,
+        )
+        self._http = HttpServer(
+            _address(settings.http_address),
+            self._application,
+            access.http,
+        )
+
+    @property
+    def http_address(self) -> Address:
+        """Return the address for callers, with the port after ``start``."""
+        return self._http.address
+
+    @property
+    def link_address(self) -> Address:
+        """Return the address for entries, with the port after ``start``."""
+        return self._links.address
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Bind, register and serve; ``OSError`` when an address is taken."""
+        await nursery.start(self._run)
+
+    async def close(self) -> None:
+        """Answer the accepted jobs, then end the incarnation."""
+        await self._core.drain()
+        await self._application.drain()
+        await self._http.close()
+        await self._links.close()
+        await self._core.close()
+        self._scope.cancel()
+        await self._stopped.wait()
+
+    async def _run(self, task_status: trio.TaskStatus[None]) -> None:
+        try:  # noqa: WPS501 close waits for the end on every path
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    self._nursery = nursery
+                    await self._links.start(nursery)
+                    await self._http.start(nursery)
+                    await self._core.start(nursery)
+                    task_status.started()
+                    await trio.sleep_forever()
+        finally:
+            self._stopped.set()
+
+    def _addresses(self) -> tuple[str, str]:
+        return str(self.link_address), str(self.http_address)
+
+    def _open_control(self) -> Control:
+        return open_grpc_client(
+            [_address(member.address) for member in self._settings.control],
+            self._clock,
+            self._access.control,
+        )
+
+    async def _dial(self, text: str) -> trio.abc.Stream:
+        address = parse_address(text)
+        if isinstance(address, Failure):
+            raise OSError(address.detail)
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        if self._access.client is None:
+            return stream
+        return trio.SSLStream(
+            stream,
+            self._access.client,
+            server_hostname=address.host,
+        )
+
+    def _open_peer(self, text: str) -> Peer:
+        if self._nursery is None:
+            raise RuntimeError('the entry is not started')
+        return FramePeer(
+            _address(text),
+            EntryReply,
+            self._nursery,
+            self._access.client,
+        )
+
+
+def _address(text: str) -> Address:
+    address = parse_address(text)
+    if isinstance(address, Failure):
+        raise ValueError(address.detail)
+    return address
--- /dev/null
+++ b/src/borageward/entry/settlement.py
@@ -0,0 +1,301 @@
+"""What messages and failures of the links mean for the tasks."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+import msgspec
+
+from borageward.clock import Clock
+from borageward.entry.guardlink import GuardLink
+from borageward.entry.job import Job, JobTask, Placement
+from borageward.entry.openjobs import OpenJobs
+from borageward.entry.startgate import StartGate
+from borageward.failures import Failure, FailureReason, RunState
+from borageward.messages.guard import (
+    Announcement,
+    GuardLoad,
+    GuardToEntry,
+    JobOutcome,
+    Settle,
+    Settled,
+    SlotOffered,
+    StartTasks,
+    TasksFinished,
+    TasksRefused,
+)
+from borageward.messages.task import TaskOutcome, TaskPhase, TaskReport
+from borageward.policy import DispatchPolicy
+
+
+class Settlement:
+    """Implements ``LinkEvents``; every placed task leaves here once.
+
+    Only a proved ``not_run`` returns a task to the policy. ``wake`` asks the
+    dispatcher for new assignments. ``active`` holds the links to place work
+    at by worker, ``links`` all links by guard incarnation.
+    """
+
+    def __init__(
+        self,
+        policy: DispatchPolicy,
+        jobs: OpenJobs,
+        gate: StartGate,
+        clock: Clock,
+        wake: Callable[[], None],
+    ) -> None:
+        """Prepare the rules for the jobs of one entry."""
+        self._policy = policy
+        self._jobs = jobs
+        self._gate = gate
+        self._clock = clock
+        self._wake = wake
+        self.active: dict[str, GuardLink] = {}
+        self.links: dict[int, GuardLink] = {}
+
+    def linked(self, link: GuardLink) -> None:
+        """Settle what was open and place work at the guard."""
+        welcome = link.welcome
+        if welcome is None:
+            return
+        if link.placeable:
+            self.active[link.worker] = link
+            self._policy.add_guard(
+                link.worker,
+                welcome.place,
+                welcome.service,
+                welcome.load,
+            )
+        self.settle_open(link)
+        self._wake()
+
+    def settle_open(self, link: GuardLink) -> None:
+        """Ask for the state of every task that was sent."""
+        groups: dict[tuple[Job, int, int], list[int]] = {}
+        for job, task in self._open(link):
+            if task.placement is Placement.SENT:
+                key = (job, task.starter, task.attempt)
+                groups.setdefault(key, []).append(task.waiting.index)
+        for group, indexes in groups.items():
+            link.post(self._settle(group, indexes))
+
+    def unlinked(self, link: GuardLink) -> None:
+        """Place no more work; starts never written return to the queue."""
+        if self.active.get(link.worker) is link:
+            self.active.pop(link.worker)
+            self._policy.remove_guard(link.worker)
+        for job, task in self._open(link):
+            if task.placement is Placement.POSTED:
+                self.unsent(link, job, task)
+
+    def before_start(
+        self,
+        link: GuardLink,
+        message: StartTasks,
+    ) -> StartTasks | None:
+        """Return what may be written now, marked as sent, or nothing."""
+        job = self._jobs.get(message.job_id)
+        if job is None:
+            return None
+        specs = tuple(
+            spec
+            for spec in message.tasks
+            if _is_posted(job, spec.index, spec.attempt)
+        )
+        if not specs:
+            return None
+        if not self._gate.admits(job):
+            for refused in specs:
+                self.unsent(link, job, job.tasks[refused.index])
+            return None
+        for spec in specs:
+            job.tasks[spec.index].placement = Placement.SENT
+        remaining_ms = max(0, job.deadline_ms - self._clock.now_ms())
+        return msgspec.structs.replace(
+            message,
+            tasks=specs,
+            remaining_ms=remaining_ms,
+        )
+
+    def received(self, link: GuardLink, message: GuardToEntry) -> None:
+        """Use a message of the guard."""
+        if isinstance(message, _WITH_LOAD):
+            self._report_load(link, message.load)
+        if isinstance(message, TasksFinished):
+            for outcome in message.outcomes:
+                self._finished(link, outcome)
+        elif isinstance(message, TasksRefused):
+            self._refused(link, message)
+        elif isinstance(message, Settled):
+            self._settled(link, message)
+        self._wake()
+
+    def lost(self, link: GuardLink, failure: Failure) -> None:
+        """Give up every open task of the guard."""
+        for job, task in self._open(link):
+            if task.placement is Placement.POSTED:
+                self.unsent(link, job, task)
+            else:
+                self.give_up(link, job, task, failure)
+        self._wake()
+
+    def give_up(
+        self,
+        link: GuardLink,
+        job: Job,
+        task: JobTask,
+        failure: Failure,
+    ) -> None:
+        """Resolve a task of which nobody can tell whether it ran."""
+        link.release(job.job_id, task.waiting.index)
+        if not task.adopted:
+            self._policy.task_lost(link.worker, task.waiting)
+        job.fail_task(task.waiting.index, failure)
+
+    def unsent(self, link: GuardLink, job: Job, task: JobTask) -> None:
+        """Return a task whose start was never written."""
+        self._not_run(link, job, task, Failure(FailureReason.WITHDRAWN))
+
+    def report(self, link: GuardLink, job: Job, report: TaskReport) -> None:
+        """Use the state of one task that a guard settled."""
+        task = job.tasks[report.index]
+        if report.phase is TaskPhase.FINISHED and report.outcome is not None:
+            self._finished(link, JobOutcome(job.job_id, report.outcome))
+        elif report.phase is TaskPhase.NOT_RUN and _is_at(task, link):
+            self._not_run(link, job, task, Failure(FailureReason.WITHDRAWN))
+
+    def _finished(self, link: GuardLink, finished: JobOutcome) -> None:
+        outcome = finished.outcome
+        job = self._jobs.get(finished.job_id)
+        link.acknowledgements.add(finished.job_id, outcome.index)
+        if job is None or not 0 <= outcome.index < len(job.tasks):
+            return
+        task = job.tasks[outcome.index]
+        if _is_at(task, link):
+            link.release(job.job_id, outcome.index)
+            self._learn(link, task, outcome)
+        job.resolve(outcome)
+
+    def _learn(
+        self,
+        link: GuardLink,
+        task: JobTask,
+        outcome: TaskOutcome,
+    ) -> None:
+        if task.adopted:
+            return
+        self._policy.task_finished(
+            link.worker,
+            task.waiting,
+            outcome.run_ms,
+            outcome.reason is not None,
+        )
+
+    def _refused(self, link: GuardLink, message: TasksRefused) -> None:
+        job = self._jobs.get(message.job_id)
+        if job is None:
+            return
+        for index in message.indexes:
+            task = job.tasks[index]
+            # A duplicate may refer to an earlier attempt at this guard.
+            if _is_at(task, link) and task.attempt <= message.attempt:
+                self._not_run(link, job, task, Failure(message.reason))
+
+    def _settled(self, link: GuardLink, message: Settled) -> None:
+        job = self._jobs.get(message.job_id)
+        if job is None:
+            return
+        for report in message.reports:
+            if 0 <= report.index < len(job.tasks):
+                self.report(link, job, report)
+
+    def _not_run(
+        self,
+        link: GuardLink,
+        job: Job,
+        task: JobTask,
+        failure: Failure,
+    ) -> None:
+        index = task.waiting.index
+        was_sent = task.placement is Placement.SENT
+        link.release(job.job_id, index)
+        job.unplace(index)
+        refusal = self._offer_again(link, job, task, failure, was_sent)
+        if refusal is not None:
+            job.fail_task(
+                index,
+                attrs.evolve(refusal, run_state=RunState.NOT_RUN),
+            )
+
+    def _offer_again(
+        self,
+        link: GuardLink,
+        job: Job,
+        task: JobTask,
+        failure: Failure,
+        was_sent: bool,
+    ) -> Failure | None:
+        if was_sent and not task.waiting.idempotent:
+            if not task.adopted:
+                self._policy.task_lost(link.worker, task.waiting)
+            return Failure(job.closing) if job.closing else failure
+        if task.adopted:
+            # The policy never placed it, so it has no slot to free.
+            task.adopted = False
+            if job.closing is None:
+                self._policy.enqueue((task.waiting,), self._clock.now_ms())
+                return None
+            return Failure(job.closing)
+        refusal = self._policy.task_not_run(
+            link.worker,
+            task.waiting,
+            self._clock.now_ms(),
+        )
+        if job.closing is None:
+            return refusal
+        self._policy.cancel(job.job_id)
+        return Failure(job.closing)
+
+    def _settle(
+        self,
+        group: tuple[Job, int, int],
+        indexes: list[int],
+    ) -> Settle:
+        job, starter, attempt = group
+        return Settle(
+            job.job_id,
+            self._gate.incarnation,
+            starter,
+            tuple(indexes),
+            attempt,
+            withdraw_queued=job.closing is not None,
+        )
+
+    def _open(self, link: GuardLink) -> list[tuple[Job, JobTask]]:
+        found: list[tuple[Job, JobTask]] = []
+        for job_id, indexes in list(link.open_tasks.items()):
+            job = self._jobs.get(job_id)
+            if job is None:
+                link.open_tasks.pop(job_id)
+                continue
+            for index in sorted(indexes):
+                found.append((job, job.tasks[index]))
+        return found
+
+    def _report_load(self, link: GuardLink, load: GuardLoad) -> None:
+        if self.active.get(link.worker) is link:
+            self._policy.load_reported(link.worker, load)
+
+
+_WITH_LOAD = (Announcement, Settled, SlotOffered, TasksFinished, TasksRefused)
+
+
+def _is_posted(job: Job, index: int, attempt: int) -> bool:
+    task = job.tasks[index]
+    return task.placement is Placement.POSTED and task.attempt == attempt
+
+
+def _is_at(task: JobTask, link: GuardLink) -> bool:
+    placed = task.placement in {Placement.POSTED, Placement.SENT}
+    return placed and task.guard == link.incarnation
--- /dev/null
+++ b/src/borageward/entry/takeover.py
@@ -0,0 +1,184 @@
+"""Settlement of jobs whose owner has ended."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+import attrs
+import trio
+
+from borageward.clock import Clock, Milliseconds
+from borageward.entry.batcher import Control
+from borageward.entry.directory import Directory
+from borageward.entry.dispatcher import Dispatcher
+from borageward.entry.fencing import Fencing, Sighting, Survey
+from borageward.entry.job import ATTEMPTS_PER_OWNER, Job, JobTask
+from borageward.entry.startgate import StartGate
+from borageward.failures import Failure, FailureReason, RunState
+from borageward.identity import JobId
+from borageward.messages.control import ClaimAnswer
+from borageward.messages.guard import Settle, Settled
+from borageward.messages.task import TaskPhase, TaskReport
+
+# An owner's end takes 1,500 ms to notice, and the outcome is due in 3,000 ms.
+_SETTLE_TIMEOUT_MS = 700.0
+_MAX_INTERRUPTED = 20_000
+_MS_PER_SECOND = 1000.0
+
+
+@attrs.frozen(slots=True)
+class _Located:
+    """State of a task at the guard that reported it."""
+
+    sighting: Sighting
+    report: TaskReport
+
+
+@attrs.define(slots=True)
+class _Findings:
+    """What the guards said about one job."""
+
+    located: dict[int, list[_Located]] = attrs.field(factory=dict)
+    # Indexes seen at a guard that then did not tell their state.
+    unclear: set[int] = attrs.field(factory=set)
+
+
+class Takeover:
+    """Finds out what ran of a job and continues it.
+
+    A task may start only when every guard that lived since the claim has
+    fenced the earlier owners and disclaims the task.
+    """
+
+    def __init__(
+        self,
+        fencing: Fencing,
+        dispatcher: Dispatcher,
+        clock: Clock,
+    ) -> None:
+        """Prepare takeovers of one entry."""
+        self._fencing = fencing
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._interrupted: OrderedDict[JobId, ClaimAnswer] = OrderedDict()
+
+    def begin(self, claim: ClaimAnswer) -> None:
+        """Remember a takeover whose answer from control may get lost.
+
+        The claim then names this entry as the owner, though tasks that an
+        earlier owner started are not settled.
+        """
+        self._interrupted[claim.job_id] = claim
+        while len(self._interrupted) > _MAX_INTERRUPTED:
+            self._interrupted.popitem(last=False)
+
+    def interrupted(self, job_id: JobId) -> ClaimAnswer | None:
+        """Return the claim before a takeover that was not settled."""
+        return self._interrupted.get(job_id)
+
+    async def recover(
+        self,
+        job: Job,
+        claim: ClaimAnswer,
+        may_start: bool,
+    ) -> Failure | None:
+        """Resolve or place every task of a job that this entry owns.
+
+        Returns why the members could not be read. Without ``may_start``
+        tasks that did not run stay unresolved.
+        """
+        survey = await self._fencing.survey(claim)
+        if isinstance(survey, Failure):
+            return survey
+        findings = await self._ask_guards(job, survey)
+        self._interrupted.pop(job.job_id, None)
+        waiting = [
+            task
+            for task in job.unresolved()
+            if self._continue(job, task, findings, survey)
+        ]
+        if may_start:
+            self._dispatcher.enqueue(job, waiting)
+        return None
+
+    async def _ask_guards(self, job: Job, survey: Survey) -> _Findings:
+        findings = _Findings()
+        async with trio.open_nursery() as nursery:
+            for sighting in survey.sightings(job.job_id):
+                nursery.start_soon(self._ask_guard, job, sighting, findings)
+        return findings
+
+    async def _ask_guard(
+        self,
+        job: Job,
+        sighting: Sighting,
+        findings: _Findings,
+    ) -> None:
+        settled: Settled | None = None
+        message = Settle(
+            job.job_id,
+            job.owner,
+            sighting.owner,
+            sighting.indexes,
+            job.owner * ATTEMPTS_PER_OWNER,
+        )
+        with trio.move_on_after(_SETTLE_TIMEOUT_MS / _MS_PER_SECOND):
+            settled = await sighting.link.settle(message)
+        if settled is None:
+            findings.unclear.update(sighting.indexes)
+            return
+        for report in settled.reports:
+            located = findings.located.setdefault(report.index, [])
+            located.append(_Located(sighting, report))
+
+    def _continue(
+        self,
+        job: Job,
+        task: JobTask,
+        findings: _Findings,
+        survey: Survey,
+    ) -> bool:
+        """Use what is known of a task; true when it may start."""
+        index = task.waiting.index
+        located = findings.located.get(index, [])
+        for found in located:
+            if found.report.phase is not TaskPhase.NOT_RUN:
+                self._adopt(job, found)
+                return False
+        if index in findings.unclear or not survey.complete:
+            job.fail_task(index, _unknown())
+            return False
+        if located and not task.waiting.idempotent:
+            # Its start was sent once, so it is not sent again.
+            job.fail_task(index, Failure(FailureReason.WITHDRAWN))
+            return False
+        return True
+
+    def _adopt(self, job: Job, found: _Located) -> None:
+        link = found.sighting.link
+        index = found.report.index
+        job.adopt(index, link.incarnation, link.worker, found.sighting.owner)
+        link.hold(job.job_id, index)
+        self._dispatcher.settlement.report(link, job, found.report)
+
+
+def new_fencing(
+    control: Control,
+    directory: Directory,
+    gate: StartGate,
+) -> Fencing:
+    """Return the fences that the takeovers of one entry share."""
+    return Fencing(control, directory, gate)
+
+
+def remaining_ms(clock: Clock, job: Job) -> Milliseconds:
+    """Return the time left to the job's deadline, never negative."""
+    return max(0, job.deadline_ms - clock.now_ms())
+
+
+def _unknown() -> Failure:
+    return Failure(
+        FailureReason.GUARD_UNREACHABLE,
+        'a guard that may have started the task does not answer',
+        RunState.MAY_HAVE_RUN,
+    )
