--- a/src/borageward/guard/link.py
+++ b/src/borageward/guard/link.py
@@ -77,6 +77,8 @@
         await self._connection.close()
 
     async def _send_waiting(self) -> None:
+        # Results that arrive in the same turn of the loop join the message.
+        await trio.lowlevel.checkpoint()
         self._wake = trio.Event()
         waiting = self._messages
         self._messages = []
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -56,6 +56,11 @@
         self.latency_ms = 0
         self.tune(tuning)
 
+    @property
+    def peak(self) -> int:
+        """Return the highest number of runs at a time."""
+        return self._peak
+
     def tune(self, tuning: dict[str, Any]) -> None:
         """Change the behaviour from now on."""
         for name in _TUNABLE:
