--- a/src/borageward/configuration/limits.py
+++ b/src/borageward/configuration/limits.py
@@ -16,7 +16,7 @@
     max_deadline_ms: int = 600_000
     # A job is refused when the work ahead of it takes longer than this, which
     # bounds the backlog that is left when a demand peak ends.
-    max_predicted_wait_ms: int = 400
+    max_predicted_wait_ms: int = 1000
     # A job is refused when its predicted wait leaves less than this share of
     # its deadline.
     admission_margin: float = 0.1
@@ -36,6 +36,10 @@
     long_task_ms: int = 2000
     # Share of a guard's slots that long work may hold.
     long_slots_share: float = 0.5
+    # Load announcements to entries: budget in messages for each start, and the
+    # least change of queued and running tasks that is announced.
+    announcements_per_start: float = 0.15
+    announced_change_tasks: int = 3
     # Outliers.
     outlier_window: int = 20
     outlier_failures: int = 10
--- a/src/borageward/membership/session.py
+++ b/src/borageward/membership/session.py
@@ -20,8 +20,8 @@
     EndIncarnation,
     Heartbeat,
     HeartbeatReply,
-    RegisterEntry,
     Registered,
+    RegisterEntry,
     RegisterGuard,
 )
 
--- a/src/borageward/messages/guard.py
+++ b/src/borageward/messages/guard.py
@@ -20,6 +20,7 @@
 
     ``speed`` is the smoothed ratio of expected to observed run time;
     ``queued_ms`` is the expected run time of all queued work.
+    ``running_long`` counts the slots held by long work, overdue work included.
     """
 
     slots: int
@@ -29,6 +30,7 @@
     queued_ms: float
     leaving: bool
     speed: float
+    running_long: int = 0
 
 
 class Hello(Message, frozen=True):
--- a/src/borageward/policy/adaptive_dispatch.py
+++ b/src/borageward/policy/adaptive_dispatch.py
@@ -157,14 +157,13 @@
         blocked: set[LaneKey] = set()
         lane = self._next_lane(blocked, now_ms)
         while lane is not None:
-            worker = self._worker_for(lane, now_ms)
+            worker = self._worker_for(lane, blocked, now_ms)
             if worker is None:
                 blocked.add(lane)
             else:
                 task = self._send(lane, worker, now_ms)
                 batches.setdefault((worker, task.job_id), []).append(task)
             lane = self._next_lane(blocked, now_ms)
-        self._workers.clear_held()
         return [
             Assignment(worker, job_id, tuple(tasks))
             for (worker, job_id), tasks in batches.items()
@@ -265,31 +264,22 @@
                 ranks[lane] = (not lane.urgent, share, order)
         return min(ranks, key=ranks.__getitem__, default=None)
 
-    def _worker_for(self, lane: LaneKey, now_ms: Milliseconds) -> str | None:
-        """Return a worker for one task of a lane, or nothing.
-
-        Tasks that should wait for a faster worker are counted as held there,
-        so that the tasks behind them see the longer wait and may take a
-        slower worker now.
-        """
+    def _worker_for(
+        self,
+        lane: LaneKey,
+        blocked: set[LaneKey],
+        now_ms: Milliseconds,
+    ) -> str | None:
+        """Return a worker for one task of a lane, or nothing."""
         task = self._queue.first(lane, now_ms)
         if task is None:
             return None
-        guards = self._candidates(lane, now_ms)
-        scene = self._scene(now_ms)
-        for _ in range(self._queue.waiting(lane)):
-            worker = self._placement.choose(task, guards, scene)
-            if worker is None:
-                return None
-            view = guards[worker]
-            if not self._placement.binds_late or view.has_room(
-                now_ms,
-                scene.short_ms,
-                scene.allowance_tasks,
-            ):
-                return worker
-            view.hold()
-        return None
+        return self._placement.choose(
+            task,
+            self._candidates(lane, now_ms),
+            self._scene(now_ms),
+            self._queue.waiting(task.run_class, {lane, *blocked}),
+        )
 
     def _candidates(
         self,
--- a/src/borageward/policy/capacity.py
+++ b/src/borageward/policy/capacity.py
@@ -55,7 +55,6 @@
             own_place=own_place,
             place_delay_ms=limits.place_delay_ms,
             short_ms=self._run_times.short_mean_ms(),
-            long_ms=limits.long_task_ms,
             allowance_tasks=limits.placement_queue_tasks,
             long_share=limits.long_slots_share,
         )
@@ -78,9 +77,12 @@
             urgent=need.urgent,
             remaining_ms=need.remaining_ms,
             ahead_ms=self._queue.work_ahead_ms(
-                need.service,
-                need.urgent,
-                len(need.kinds),
+                need,
+                self._run_times.run_class(
+                    need.service,
+                    need.kinds[0],
+                    limits.long_task_ms,
+                ),
             ),
             own_ms=self._work_ms(need),
             tail_ms=self._tail_ms(need),
@@ -91,18 +93,20 @@
     def rate(self, now_ms: Milliseconds, limits: Limits) -> float:
         """Return the rate that the entry can count on now.
 
-        It has its equal part of all slots, or what it uses already together
-        with the slots that seem free.
+        It has its equal part of all slots, what it uses already together
+        with the slots that seem free, or what other entries usually leave.
         """
         short_ms = self._run_times.short_mean_ms()
         whole: float = 0
         usable: float = 0
+        left: float = 0
         for view in self._workers.active:
             free = max(0, -view.excess(now_ms, short_ms))
             running = min(view.in_flight, view.slots)
             whole += view.speed * view.slots
             usable += view.speed * min(view.slots, free + running)
-        return max(whole / self._entries, usable)
+            left += view.speed * max(0, view.slots - view.others_average)
+        return max(whole / self._entries, usable, left)
 
     def latest_start_ms(
         self,
--- a/src/borageward/policy/class_scheduler.py
+++ b/src/borageward/policy/class_scheduler.py
@@ -44,6 +44,7 @@
         self._queues = {name: GuardQueue() for name in _ORDER}
         self._queue_of: dict[tuple[JobId, int], GuardQueue] = {}
         self._running: dict[tuple[JobId, int], GuardTask] = {}
+        self._now_ms: Milliseconds = 0
 
     @property
     def free_slots(self) -> int:
@@ -77,6 +78,7 @@
 
     def take(self, now_ms: Milliseconds) -> GuardTask | None:
         """Return the task to start now and occupy a slot, or nothing."""
+        self._now_ms = now_ms
         if not self.free_slots:
             return None
         long_allowed = self._running_long(now_ms) < self._long_slots()
@@ -125,6 +127,7 @@
             queued_ms=queued_ms,
             leaving=leaving,
             speed=self._speed.value,
+            running_long=self._running_long(self._now_ms),
         )
 
     def _start(self, task: GuardTask, now_ms: Milliseconds) -> GuardTask:
--- a/src/borageward/policy/guard_view.py
+++ b/src/borageward/policy/guard_view.py
@@ -33,9 +33,14 @@
         self._load = load
         self._reported_ms = now_ms
         self._own = {RunClass.SHORT: 0, RunClass.LONG: 0}
+        self._in_flight = 0
         self._others = float(_reported_tasks(self._load))
         self._others_average = self._others
-        self._held = 0
+        self._others_long = 0
+        # The drift is the same for all tasks that are placed at one time.
+        self._drift: float = 0
+        self._drift_ms = float('nan')
+        self._count_others()
 
     @property
     def place(self) -> str:
@@ -65,7 +70,17 @@
     @property
     def in_flight(self) -> int:
         """Return the number of own tasks queued or running at the guard."""
-        return sum(self._own.values())
+        return self._in_flight
+
+    @property
+    def long_tasks(self) -> int:
+        """Return the number of long tasks queued or running."""
+        return self._others_long + self._own[RunClass.LONG]
+
+    @property
+    def others_average(self) -> float:
+        """Return the usual number of tasks of other entries."""
+        return self._others_average
 
     def in_flight_of(self, run_class: RunClass) -> int:
         """Return the number of own tasks of a class at the guard."""
@@ -75,51 +90,49 @@
         """Use a newer load report."""
         self._load = load
         self._reported_ms = now_ms
-        self._others = max(0, _reported_tasks(self._load) - self.in_flight)
+        self._count_others()
         change = self._others - self._others_average
         self._others_average += _AVERAGE_WEIGHT * change
+        self._drift_ms = float('nan')
+
+    def long_slots(self, long_share: float) -> int:
+        """Return the number of slots that long work may hold."""
+        return max(1, int(self.slots * long_share))
 
     def sent(self, run_class: RunClass) -> None:
         """Count a task that is sent to the guard."""
         self._own[run_class] += 1
+        self._in_flight += 1
 
     def settled(self, run_class: RunClass) -> None:
         """Count a task that left the guard."""
-        self._own[run_class] = max(0, self._own[run_class] - 1)
-
-    def hold(self) -> None:
-        """Count a task that waits at the entry for this guard."""
-        self._held += 1
-
-    def clear_held(self) -> None:
-        """Forget the held tasks."""
-        self._held = 0
-
-    def has_room(
-        self,
-        now_ms: Milliseconds,
-        decay_ms: Milliseconds,
-        allowance: int,
-    ) -> bool:
-        """Tell whether fewer tasks than the allowance seem to be queued.
-
-        Held tasks are not at the guard, so they take no room.
-        """
-        return self.tasks(now_ms, decay_ms) - self.slots < allowance
+        if self._own[run_class]:
+            self._own[run_class] -= 1
+            self._in_flight -= 1
 
     def tasks(self, now_ms: Milliseconds, decay_ms: Milliseconds) -> float:
         """Return the estimated number of tasks queued or running."""
-        age_ms = max(0, now_ms - self._reported_ms)
-        weight = math.exp(-age_ms / decay_ms)
-        drift = weight * (self._others - self._others_average)
-        return self.in_flight + self._others_average + drift
+        if now_ms != self._drift_ms:
+            age_ms = max(0, now_ms - self._reported_ms)
+            weight = math.exp(-age_ms / decay_ms)
+            self._drift = weight * (self._others - self._others_average)
+            self._drift_ms = now_ms
+        return self.in_flight + self._others_average + self._drift
 
     def excess(self, now_ms: Milliseconds, decay_ms: Milliseconds) -> float:
         """Return the estimated number of tasks without a slot of their own.
 
         It is negative when slots are free.
         """
-        return self.tasks(now_ms, decay_ms) + self._held - self.slots
+        return self.tasks(now_ms, decay_ms) - self.slots
+
+    def _count_others(self) -> None:
+        """Take the share of other entries from the last report."""
+        load = self._load
+        self._others = max(0, _reported_tasks(load) - self.in_flight)
+        reported_long = load.running_long + load.queued_long
+        own_long = self._own[RunClass.LONG]
+        self._others_long = max(0, reported_long - own_long)
 
 
 def _reported_tasks(load: GuardLoad) -> int:
--- a/src/borageward/policy/job_queue.py
+++ b/src/borageward/policy/job_queue.py
@@ -16,7 +16,8 @@
 
 from borageward.clock import Milliseconds
 from borageward.identity import JobId
-from borageward.policy.dispatch import WaitingTask
+from borageward.messages.task import RunClass
+from borageward.policy.dispatch import JobNeed, WaitingTask
 
 
 @attrs.frozen(slots=True)
@@ -99,6 +100,7 @@
         self.by_latest_start = JobHeap()
         self.virtual_time: float = 0
         self.task_count = 0
+        self.run_class = RunClass.SHORT
 
     def order(self, now_ms: Milliseconds) -> tuple[bool, float] | None:
         """Return a sort key of the next job: jobs at their limit first."""
@@ -159,6 +161,7 @@
         first = tasks[0]
         key = LaneKey.of(first)
         lane = self._lanes.setdefault(key, _Lane())
+        lane.run_class = first.run_class
         job = QueuedJob(
             key,
             deque(tasks),
@@ -194,25 +197,29 @@
             self._lanes.pop(key)
         return found
 
-    def waiting(self, key: LaneKey) -> int:
-        """Return the number of tasks that wait in a lane."""
-        return self._lanes[key].task_count
+    def waiting(self, run_class: RunClass, lanes: Iterable[LaneKey]) -> int:
+        """Return the number of tasks of a class that wait in some lanes."""
+        return sum(
+            self._lanes[key].task_count
+            for key in lanes
+            if key in self._lanes and self._lanes[key].run_class is run_class
+        )
 
     def work_ahead_ms(
         self,
-        service: str,
-        urgent: bool,
-        tasks: int,
+        need: JobNeed,
+        run_class: RunClass,
     ) -> Milliseconds:
-        """Return the work served before a new job of a number of tasks.
+        """Return the work of a class that is served before a new job.
 
         Jobs of a lane are served in turn, so a waiting job is ahead with at
         most as many tasks as the new one has.
         """
         ahead_ms: Milliseconds = 0
         for key, lane in self._lanes.items():
-            if key.service == service and key.urgent >= urgent:
-                ahead_ms += lane.work_ahead_ms(tasks)
+            same = key.service == need.service and lane.run_class is run_class
+            if same and key.urgent >= need.urgent:
+                ahead_ms += lane.work_ahead_ms(len(need.kinds))
         return ahead_ms
 
     def take(self, key: LaneKey, now_ms: Milliseconds) -> WaitingTask:
--- a/src/borageward/policy/placement.py
+++ b/src/borageward/policy/placement.py
@@ -15,21 +15,21 @@
 
 # Two messages cross between places for each task.
 _CROSSINGS = 2
+_LEAST_STEP_MS = 0.01
 
 
 @attrs.frozen(slots=True)
 class PlacementScene:
     """What a placement decision may look at.
 
-    ``short_ms`` and ``long_ms`` are the mean run times of the classes at
-    speed 1; ``place_delay_ms`` is the one-way delay between places.
+    ``short_ms`` is the mean run time of short work at speed 1,
+    ``place_delay_ms`` the one-way delay between places.
     """
 
     now_ms: Milliseconds
     own_place: str
     place_delay_ms: Milliseconds
     short_ms: Milliseconds
-    long_ms: Milliseconds
     allowance_tasks: int
     long_share: float
 
@@ -37,60 +37,54 @@
 class Placement(Protocol):
     """Chooses a worker for a task, or none while the task should wait."""
 
-    # Whether a task waits at the entry until its worker has room.
-    binds_late: bool
-
     def choose(
         self,
         task: WaitingTask,
         guards: Mapping[str, GuardView],
         scene: PlacementScene,
+        waiting: int,
     ) -> str | None:
-        """Return the name of a worker among the guards, or nothing."""
+        """Return the name of a worker among the guards, or nothing.
+
+        ``waiting`` counts the tasks that wait for the same kind of slot, this
+        one included.
+        """
 
 
 class EarliestFinishPlacement:
     """Place where the task is expected to finish first.
 
-    The caller keeps the task while the queue at that worker exceeds the
-    allowance, so that it is bound as late as possible.
+    Work stays at the entry while the queue of a guard exceeds the allowance,
+    so that it is bound as late as possible. A worker with room that is slower
+    gets a task only when more tasks wait than the faster ones would finish
+    earlier.
     """
 
-    binds_late = True
-
     def choose(
         self,
         task: WaitingTask,
         guards: Mapping[str, GuardView],
         scene: PlacementScene,
+        waiting: int,
     ) -> str | None:
-        """Return the worker with the earliest expected finish."""
-        best = None
-        best_ms = float('inf')
+        """Return the worker with room and the earliest expected finish."""
+        full: list[_Estimate] = []
+        best: _Estimate | None = None
         for worker, view in guards.items():
-            finish_ms = self._finish_ms(task, view, scene)
-            if finish_ms < best_ms:
-                best, best_ms = worker, finish_ms
-        return best
-
-    def _finish_ms(
-        self,
-        task: WaitingTask,
-        view: GuardView,
-        scene: PlacementScene,
-    ) -> Milliseconds:
-        travel_ms: Milliseconds = 0
-        if view.place != scene.own_place:
-            travel_ms = _CROSSINGS * scene.place_delay_ms
-        wait_ms = _wait_ms(task, view, scene)
-        return travel_ms + wait_ms + task.expected_ms / view.speed
+            estimate = _estimate(worker, task, view, scene)
+            if not _has_room(task, view, scene):
+                full.append(estimate)
+            elif best is None or estimate.finish_ms < best.finish_ms:
+                best = estimate
+        if best is None:
+            return None
+        earlier = sum(one.tasks_before(best.finish_ms) for one in full)
+        return best.worker if waiting > earlier else None
 
 
 class RandomPlacement:
     """Baseline: a random worker, whatever its load."""
 
-    binds_late = False
-
     def __init__(self, source: random.Random) -> None:
         """Take choices from a seeded source."""
         self._source = source
@@ -100,6 +94,7 @@
         task: WaitingTask,
         guards: Mapping[str, GuardView],
         scene: PlacementScene,
+        waiting: int,
     ) -> str | None:
         """Return any worker."""
         return self._source.choice(list(guards)) if guards else None
@@ -108,8 +103,6 @@
 class TwoChoicesPlacement:
     """Alternative: the less loaded of two random workers, pushed at once."""
 
-    binds_late = False
-
     def __init__(self, source: random.Random) -> None:
         """Take choices from a seeded source."""
         self._source = source
@@ -119,6 +112,7 @@
         task: WaitingTask,
         guards: Mapping[str, GuardView],
         scene: PlacementScene,
+        waiting: int,
     ) -> str | None:
         """Return the less loaded of two workers."""
         names = list(guards)
@@ -129,8 +123,6 @@
 class IdlePushPlacement:
     """Alternative: any worker with an idle slot, else a small queue."""
 
-    binds_late = False
-
     def __init__(self, source: random.Random) -> None:
         """Take choices from a seeded source."""
         self._source = source
@@ -140,6 +132,7 @@
         task: WaitingTask,
         guards: Mapping[str, GuardView],
         scene: PlacementScene,
+        waiting: int,
     ) -> str | None:
         """Return an idle worker, or one within the queue allowance."""
         idle: list[str] = []
@@ -167,21 +160,55 @@
     )
 
 
-def _wait_ms(
+@attrs.frozen(slots=True)
+class _Estimate:
+    """Expected finish of one task at a worker, and of each one after it."""
+
+    worker: str
+    finish_ms: Milliseconds
+    step_ms: Milliseconds
+
+    def tasks_before(self, finish_ms: Milliseconds) -> int:
+        """Return how many tasks would finish here before a time."""
+        if self.finish_ms >= finish_ms:
+            return 0
+        return 1 + int((finish_ms - self.finish_ms) / self.step_ms)
+
+
+def _estimate(
+    worker: str,
     task: WaitingTask,
     view: GuardView,
     scene: PlacementScene,
-) -> Milliseconds:
-    """Return the expected wait for a slot that the class may use."""
+) -> _Estimate:
+    """Return the expected finish, with the wait for a slot of the class."""
+    speed = view.speed
+    run_ms = task.expected_ms / speed
+    travel_ms: Milliseconds = 0
+    if view.place != scene.own_place:
+        travel_ms = _CROSSINGS * scene.place_delay_ms
     excess = view.excess(scene.now_ms, scene.short_ms)
-    slot_ms = scene.short_ms / view.speed / max(1, view.slots)
-    wait_ms = max(0, excess + 1) * slot_ms
-    if task.run_class is RunClass.SHORT:
-        return wait_ms
-    long_slots = max(1, int(view.slots * scene.long_share))
-    long_tasks = max(
-        view.in_flight_of(RunClass.LONG),
-        view.load.queued_long and view.load.queued_long + long_slots,
-    )
-    long_excess = max(0, long_tasks + 1 - long_slots)
-    return wait_ms + long_excess * scene.long_ms / view.speed / long_slots
+    long_tasks = view.long_tasks
+    step_ms = scene.short_ms / speed / max(1, view.slots - long_tasks)
+    wait_ms = max(0, excess + 1) * step_ms
+    if task.run_class is RunClass.LONG:
+        long_slots = view.long_slots(scene.long_share)
+        step_ms = run_ms / long_slots
+        wait_ms += max(0, long_tasks + 1 - long_slots) * step_ms
+    finish_ms = travel_ms + wait_ms + run_ms
+    return _Estimate(worker, finish_ms, max(step_ms, _LEAST_STEP_MS))
+
+
+def _has_room(
+    task: WaitingTask,
+    view: GuardView,
+    scene: PlacementScene,
+) -> bool:
+    """Tell whether a guard should get a task now.
+
+    Long work is not queued at a guard: it would be bound to it for long.
+    """
+    if task.run_class is RunClass.LONG:
+        if view.long_tasks >= view.long_slots(scene.long_share):
+            return False
+    return view.excess(scene.now_ms, scene.short_ms) < scene.allowance_tasks
--- a/src/borageward/policy/workers.py
+++ b/src/borageward/policy/workers.py
@@ -64,11 +64,6 @@
             if not self._views[name].load.leaving
         }
 
-    def clear_held(self) -> None:
-        """Forget the tasks that were held back for a worker."""
-        for view in self._views.values():
-            view.clear_held()
-
     def mean_speed(self) -> float:
         """Return the mean speed of the linked runners."""
         views = self._views.values()
--- a/tests/policy/builders.py
+++ b/tests/policy/builders.py
@@ -11,6 +11,7 @@
     DispatchParts,
 )
 from borageward.policy.dispatch import JobNeed, WaitingTask
+from borageward.policy.run_times import LearntRunTimes
 from borageward.policy.scheduler import GuardTask
 
 SERVICE = 'dispatch'
@@ -75,6 +76,14 @@
     return policy
 
 
+def learnt_policy(loads, **parts):
+    """Return a policy that knows stock checks as short work of 500 ms."""
+    run_times = LearntRunTimes()
+    for _ in range(10):
+        run_times.observe(SERVICE, 'stock', 500)
+    return policy_with(loads, run_times=run_times, **parts)
+
+
 def sent(policy, now_ms=NOW_MS):
     """Return how many tasks go to each worker now."""
     counts = {}
--- a/tests/policy/test_class_scheduler.py
+++ b/tests/policy/test_class_scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from borageward.configuration import Limits
 from borageward.messages.task import RunClass
 from borageward.policy.class_scheduler import ClassSlotScheduler
 from tests.policy.builders import NOW_MS, SLOTS, guard_task
@@ -18,7 +19,7 @@
 
 def test_long_work_leaves_slots_to_short_work():
     """Guards against long work that takes all slots of a runner."""
-    scheduler = ClassSlotScheduler(SLOTS)
+    scheduler = ClassSlotScheduler(SLOTS, Limits(long_slots_share=0.5))
     for index in range(20):
         scheduler.offer(guard_task('l', index, RunClass.LONG), NOW_MS)
     assert len(_started(scheduler)) == 4
@@ -28,7 +29,7 @@
 
 def test_overdue_short_work_counts_as_long():
     """Guards against long work of a short kind that takes all slots."""
-    scheduler = ClassSlotScheduler(SLOTS)
+    scheduler = ClassSlotScheduler(SLOTS, Limits(long_slots_share=0.5))
     for index in range(4):
         scheduler.offer(guard_task('h', index), NOW_MS)
     assert len(_started(scheduler)) == 4
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -6,6 +6,7 @@
 from tests.policy.builders import (
     NOW_MS,
     guard_load,
+    learnt_policy,
     policy_with,
     sent,
     waiting,
@@ -15,7 +16,7 @@
 
 def test_single_task_goes_to_fastest_free_worker():
     """Guards against placement that ignores learnt speed."""
-    policy = policy_with(
+    policy = learnt_policy(
         {'slow': guard_load(speed=0.5), 'fast': guard_load(speed=2)}
     )
     policy.enqueue([waiting('a')], NOW_MS)
@@ -28,7 +29,7 @@
         'slow': guard_load(speed=0.5),
         'fast': guard_load(free=0, queued=2, speed=2),
     }
-    policy = policy_with(loads)
+    policy = learnt_policy(loads)
     policy.enqueue([waiting('a')], NOW_MS)
     assert not sent(policy)
     policy.load_reported('fast', guard_load(free=1, speed=2), NOW_MS)
@@ -41,14 +42,14 @@
         'slow': guard_load(speed=0.5),
         'fast': guard_load(free=0, queued=2, speed=2),
     }
-    policy = policy_with(loads)
+    policy = learnt_policy(loads)
     policy.enqueue(waiting_job('a', 100), NOW_MS)
     assert sent(policy)['slow'] >= 8
 
 
 def test_tasks_of_a_job_for_a_worker_share_a_message():
     """Guards against one message for each task of a job."""
-    policy = policy_with({'only': guard_load()})
+    policy = learnt_policy({'only': guard_load()})
     policy.enqueue(waiting_job('a', 8), NOW_MS)
     assert len(policy.assignments(NOW_MS)) == 1
 
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -5,8 +5,12 @@
 import trio
 
 from borageward.failures import Failure, FailureReason
-from borageward.messages.control import ControlReply, ControlRequest, Done
-from borageward.messages.control import EndIncarnation
+from borageward.messages.control import (
+    ControlReply,
+    ControlRequest,
+    Done,
+    EndIncarnation,
+)
 from borageward.transport import Address, FramePeer, FrameRpcServer
 from borageward.transport.grpc import GrpcPeer, GrpcServer
 
