--- /dev/null
+++ b/src/borageward/cli/entrycalls.py
@@ -0,0 +1,96 @@
+"""Calls of the command line to entries."""
+
+from __future__ import annotations
+
+import httpx
+import msgspec
+import trio
+
+from borageward.cli.target import Target
+from borageward.clock import SystemClock
+from borageward.failures import Failure, FailureReason
+from borageward.language import CancelJob, EntryStatus
+from borageward.messages.query import EntrySnapshot, QueryRequest
+from borageward.transport import Address
+
+_TIMEOUT_S = 5.0
+_ERROR_TEXT_LENGTH = 200
+
+
+async def ask_entries(target: Target, sentence: str) -> list[EntryStatus]:
+    """Send a query to all entries at once; each gets a status."""
+    found: dict[Address, EntryStatus] = {}
+    async with _client(target) as client, trio.open_nursery() as nursery:
+        for address in target.entries:
+            nursery.start_soon(_ask, client, address, sentence, found)
+    return [found[address] for address in target.entries]
+
+
+async def cancel_job(target: Target, command: CancelJob) -> str | Failure:
+    """Cancel a job at the first entry that knows it."""
+    failure = Failure(FailureReason.LINK_BROKEN, 'no entry given: --entry')
+    async with _client(target) as client:
+        for address in target.entries:
+            path = f'/v1/jobs/{command.job_id}'
+            reply = await _request(client, 'DELETE', address, path)
+            if not isinstance(reply, Failure):
+                return f'{command.job_id}: cancelled at {address}'
+            failure = reply
+    return failure
+
+
+def _client(target: Target) -> httpx.AsyncClient:
+    verify = True if target.tls is None else target.tls.client
+    scheme = 'http' if target.tls is None else 'https'
+    return httpx.AsyncClient(
+        verify=verify,
+        timeout=_TIMEOUT_S,
+        # Entries are IP numbers on the internal network, not behind a proxy.
+        trust_env=False,
+        base_url=f'{scheme}://entry',
+    )
+
+
+async def _ask(
+    client: httpx.AsyncClient,
+    address: Address,
+    sentence: str,
+    found: dict[Address, EntryStatus],
+) -> None:
+    clock = SystemClock()
+    asked_ms = clock.now_ms()
+    body = msgspec.json.encode(QueryRequest(sentence))
+    reply = await _request(client, 'POST', address, '/v1/query', body)
+    snapshot = reply if isinstance(reply, Failure) else _decode(reply)
+    age_ms = clock.now_ms() - asked_ms
+    found[address] = EntryStatus(str(address), snapshot, age_ms)
+
+
+async def _request(
+    client: httpx.AsyncClient,
+    method: str,
+    address: Address,
+    path: str,
+    body: bytes = b'',
+) -> bytes | Failure:
+    url = client.base_url.copy_with(host=address.host, port=address.port)
+    try:
+        reply = await client.request(method, url.join(path), content=body)
+    except httpx.TimeoutException:
+        return Failure(FailureReason.TIMEOUT, f'no reply from {address}')
+    except httpx.HTTPError as error:
+        return Failure(FailureReason.LINK_BROKEN, f'{address}: {error}')
+    if reply.is_success:
+        return reply.content
+    text = reply.text[:_ERROR_TEXT_LENGTH]
+    detail = f'{address}: status {reply.status_code}: {text}'
+    if reply.status_code == httpx.codes.NOT_FOUND:
+        return Failure(FailureReason.UNKNOWN_JOB, detail)
+    return Failure(FailureReason.INVALID_REQUEST, detail)
+
+
+def _decode(document: bytes) -> EntrySnapshot | Failure:
+    try:
+        return msgspec.json.decode(document, type=EntrySnapshot)
+    except msgspec.DecodeError as error:
+        return Failure(FailureReason.MALFORMED_MESSAGE, str(error))
--- a/src/borageward/settings/addresses.py
+++ b/src/borageward/settings/addresses.py
@@ -12,6 +12,7 @@
     ControlSettings,
     EntrySettings,
     GuardSettings,
+    OperatorSettings,
     Settings,
 )
 from borageward.settings.problem import SettingsProblem
@@ -54,6 +55,8 @@
         yield from _entry_uses(settings.entry)
     if settings.guard is not None:
         yield from _guard_uses(settings.guard)
+    if settings.operator is not None:
+        yield from _operator_uses(settings.operator)
 
 
 def _control_uses(control: ControlSettings) -> Iterator[_Use]:
@@ -94,6 +97,13 @@
     yield from _replica_uses(prefix, guard)
 
 
+def _operator_uses(operator: OperatorSettings) -> Iterator[_Use]:
+    for position, address in enumerate(operator.control):
+        yield _Use(f'$.operator.control[{position}]', address)
+    for number, entry in enumerate(operator.entries):
+        yield _Use(f'$.operator.entries[{number}]', entry)
+
+
 def _replica_uses(
     prefix: str,
     section: EntrySettings | GuardSettings,
--- a/src/borageward/settings/document.py
+++ b/src/borageward/settings/document.py
@@ -203,6 +203,20 @@
     ] = 2_097_152
 
 
+@attrs.frozen(slots=True)
+class OperatorSettings:
+    """Processes that the command line talks to."""
+
+    control: Annotated[
+        tuple[kinds.AddressText, ...],
+        Meta(description='gRPC addresses of control.', min_length=1),
+    ]
+    entries: Annotated[
+        tuple[kinds.AddressText, ...],
+        Meta(description='HTTP addresses of all entries.'),
+    ] = ()
+
+
 @attrs.frozen(slots=True)
 class Settings:
     """Settings of one process; a role runs when its section is present."""
@@ -225,3 +239,7 @@
     guard: Annotated[
         GuardSettings | None, Meta(description='Role `guard`.')
     ] = None
+    operator: Annotated[
+        OperatorSettings | None,
+        Meta(description='Command line; starts nothing in the daemon.'),
+    ] = None
--- a/src/borageward/settings/rules.py
+++ b/src/borageward/settings/rules.py
@@ -25,8 +25,14 @@
         problems.extend(_check_voters(settings.control))
         problems.extend(_check_times(settings.control))
         problems.extend(_check_leases(settings, settings.control))
-    if not (settings.control or settings.entry or settings.guard):
-        detail = 'no role: give control, entry or guard'
+    sections = (
+        settings.control,
+        settings.entry,
+        settings.guard,
+        settings.operator,
+    )
+    if not any(sections):
+        detail = 'no role: give control, entry, guard or operator'
         problems.append(SettingsProblem('$', detail))
     return problems
 
