--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+import functools
 import json
 import pathlib
 from typing import Any
 
 import httpx
 
+from standins.caller import job_body, submit
 from standins.operator import create_service
 from standins.ports import free_addresses
 from standins.processes import LocalProcess, wait_until
 
 _READY_TIMEOUT_S = 20.0
+_FIRST_DEADLINE_MS = 5000
 _PLACES = ('nadi-depot', 'lautoka-yard', 'sigatoka-shed', 'nadrau-pass')
 
 
@@ -62,6 +65,7 @@
             process.start()
         create_service(self.control_grpc_addresses, self.service)
         self.wait_ready()
+        self.wait_service()
 
     def wait_ready(self) -> None:
         """Wait until every entry reports that it takes jobs."""
@@ -76,6 +80,15 @@
             f'readiness of entry {address}',
         )
 
+    def wait_service(self) -> None:
+        """Wait until every entry serves the service and has its guards."""
+        for address in self.entry_addresses:
+            wait_until(
+                functools.partial(self._answers, address),
+                _READY_TIMEOUT_S,
+                f'first answer of entry {address}',
+            )
+
     def stop(self) -> None:
         """Shut all processes down."""
         for process in reversed(self.processes):
@@ -98,6 +111,12 @@
                 starts.append((job, int(task)))
         return starts
 
+    def _answers(self, address: str) -> bool:
+        if not self.guards:
+            return True
+        body = job_body(self.service, [1.0], _FIRST_DEADLINE_MS)
+        return submit(address, body)['state'] == 'complete'
+
     def _write_controls(self, count: int) -> None:
         addresses = free_addresses(2 * count)
         self.control_addresses = [
--- a/standins/quickstart.py
+++ b/standins/quickstart.py
@@ -14,11 +14,9 @@
 from standins.caller import job_body, submit
 from standins.deployment import Deployment
 from standins.judge import Exchange
-from standins.processes import wait_until
 
 _DEADLINE_MS = 10_000
 _RUN_MS = 80.0
-_MEMBERS_TIMEOUT_S = 10.0
 _KILLED_JOB_RUN_MS = 1500.0
 
 
@@ -37,11 +35,6 @@
     _say('Start 3 control replicas, 3 guards with runners and 2 entries.')
     deployment.start()
     first, second = deployment.entry_addresses
-    wait_until(
-        lambda: _complete(submit(first, _warm_up(deployment))),
-        _MEMBERS_TIMEOUT_S,
-        'first answer',
-    )
     jobs = [_dispatch_job(deployment, index) for index in range(4)]
     _say('Submit four salt-dispatch jobs through the first entry.')
     answers = [submit(first, job) for job in jobs]
@@ -120,10 +113,6 @@
     return [(job_id, index) for index in range(count)]
 
 
-def _warm_up(deployment: Deployment) -> dict[str, Any]:
-    return job_body(deployment.service, [1.0], _DEADLINE_MS)
-
-
 def _complete(answer: dict[str, Any]) -> bool:
     return answer.get('state') == 'complete'
 
