--- a/src/borageward/policy/baseline_dispatch.py
+++ b/src/borageward/policy/baseline_dispatch.py
@@ -118,10 +118,8 @@
         task: WaitingTask,
         now_ms: Milliseconds,
     ) -> Failure | None:
-        """Queue an idempotent task again, a bounded number of times."""
+        """Queue a task again, a bounded number of times."""
         self._release(worker)
-        if not task.idempotent:
-            return Failure(FailureReason.NO_RUNNER, 'not idempotent')
         if task.attempt >= MAX_ATTEMPTS:
             return Failure(FailureReason.RETRY_BUDGET_SPENT)
         task.excluded |= {worker}
--- a/tests/entry/cluster.py
+++ b/tests/entry/cluster.py
@@ -129,10 +129,17 @@
         return answer
 
     async def submit(self, entry, job):
-        """Submit a job and record the caller's answer."""
+        """Submit a job and record the caller's answer.
+
+        What an earlier answer says holds until the caller submits again.
+        """
+        for earlier in self.answers:
+            if earlier.job is job and earlier.horizon is None:
+                earlier.horizon = len(self.journal)
         answer = await self.request(entry, 'POST', '/v1/jobs', job.body)
         if answer is not None:
-            self.answers.append((job, answer))
+            answer.job = job
+            self.answers.append(answer)
         return answer
 
     async def _die_with(self, target, nursery):
@@ -205,8 +212,12 @@
     """Check the invariants on journals and answers."""
     started = cluster.journal
     assert len(started) == len(set(started)), 'a task started twice'
-    for job, answer in cluster.answers:
-        _check_answer(job, answer.document, set(started))
+    assert not any(guard.stale for guard in cluster.guards), 'stale start'
+    requests = [key for guard in cluster.guards for key in guard.requests]
+    assert len(requests) == len(set(requests)), 'retried, not idempotent'
+    for answer in cluster.answers:
+        known = set(started[: answer.horizon])
+        _check_answer(answer.job, answer.document, known)
 
 
 def _check_answer(job, document, started):
--- a/tests/entry/fake_control.py
+++ b/tests/entry/fake_control.py
@@ -248,3 +248,6 @@
 
     status: int
     document: dict
+    job: object = None
+    # Length of the journal when the caller submitted the job again.
+    horizon: int | None = None
--- a/tests/entry/fake_guard.py
+++ b/tests/entry/fake_guard.py
@@ -11,6 +11,8 @@
 from borageward.messages.task import TaskOutcome, TaskPhase, TaskReport
 from borageward.transport import FrameConnection, LinkClosed
 
+CONFIGURATION_LEASE_S = 5.1
+
 
 class _Entry:
     """State of one accepted task."""
@@ -23,7 +25,7 @@
         self.outcome = None
 
 
-class FakeGuard:
+class FakeGuard:  # noqa: WPS230 state of a whole process
     """One worker. ``journal`` lists every start that reached the runner.
 
     ``faults`` maps the name of a message type to a fault that strikes once:
@@ -38,9 +40,14 @@
         self.worker = worker
         self.journal = journal
         self.slots = slots
+        # Less than the announced slots makes accepted starts queue.
+        self.capacity = slots
         self.faults = {}
+        # Starts of non-idempotent tasks that arrived.
+        self.requests = []
+        # Starts sent by an entry whose lease had expired.
+        self.stale = []
         self.dead = False
-        self.messages = []
         self._boot()
 
     async def connect(self):
@@ -111,13 +118,14 @@
 
     async def _take(self, link, message):
         name = type(message).__name__
-        self.messages.append(name)
         fault = self.faults.pop(name, None)
         if fault == 'drop':
             return
         if fault == 'delay':
             await trio.sleep(0.3)
         await self._strike(link, fault, 'break_before')
+        if name == 'StartTasks':
+            self._note_requests(message)
         if fault == 'refuse':
             await self._refuse(link, message, FailureReason.QUEUE_FULL)
             return
@@ -126,6 +134,16 @@
         await getattr(self, f'_{name}')(link, message)
         await self._strike(link, fault, 'break_after')
 
+    def _note_requests(self, message):
+        heard = self.state.heard.get(message.incarnation, 0)
+        if trio.current_time() - heard > CONFIGURATION_LEASE_S:
+            self.stale.append(message)
+        self.requests += [
+            (message.job_id, spec.index)
+            for spec in message.tasks
+            if not spec.idempotent
+        ]
+
     async def _strike(self, link, fault, moment):
         if fault == moment:
             await link.close()
@@ -202,7 +220,7 @@
 
     async def _run(self, job_id, task):
         with self._enter():
-            while self._running() >= self.slots:
+            while self._running() >= self.capacity:
                 await trio.sleep(0.01)
             if task.phase is not TaskPhase.QUEUED:
                 return
--- /dev/null
+++ b/tests/entry/test_entry_faults.py
@@ -0,0 +1,133 @@
+"""Every fault at every step of a job, alone and in pairs.
+
+The checks read the runners' journals and the callers' answers only.
+"""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+import trio
+
+from tests.entry.cluster import JobText, running_cluster
+
+GUARD_FAULTS = (
+    'break_before',
+    'break_after',
+    'kill',
+    'restart',
+    'duplicate',
+    'delay',
+)
+GUARD_STEPS = ('StartTasks', 'TasksFinished', 'Acknowledge', 'Settled')
+CONTROL_STEPS = ('Claim', 'Finish', 'TakeOver', 'Heartbeat', 'Watch')
+CONTROL_FAULTS = ('lost', 'refused', 'delayed')
+
+
+def _faults():
+    guard = itertools.product(('guard',), GUARD_STEPS, GUARD_FAULTS)
+    control = itertools.product(('control',), CONTROL_STEPS, CONTROL_FAULTS)
+    return [*guard, *control, ('guard', 'StartTasks', 'refuse')]
+
+
+def _arm(cluster, fault, member):
+    target, step, kind = fault
+    if target == 'guard':
+        cluster.guards[member].faults[step] = kind
+    else:
+        control = cluster.entries[member].control
+        control.faults[step] = kind
+
+
+async def _submit_all(cluster, jobs):
+    async with trio.open_nursery() as callers:
+        for number, job in enumerate(jobs):
+            callers.start_soon(cluster.submit, number % 2, job)
+
+
+def _jobs():
+    return [
+        JobText(6, idempotent=number % 3 > 0, deadline_ms=8000)
+        for number in range(4)
+    ]
+
+
+@pytest.mark.parametrize('fault', _faults(), ids='-'.join)
+async def test_one_fault(autojump_clock, fault):
+    """Guards against a second start or an untrue answer after one fault."""
+    async with running_cluster() as cluster:
+        _arm(cluster, fault, 0)
+        jobs = _jobs()
+        await _submit_all(cluster, jobs)
+        # Callers that did not get a complete answer submit again elsewhere.
+        await _submit_all(cluster, list(reversed(jobs)))
+    assert len(cluster.answers) == 8
+
+
+@pytest.mark.parametrize('number', range(40))
+async def test_two_faults(autojump_clock, number):
+    """Guards against faults that are handled alone but not together."""
+    pairs = list(itertools.combinations(_faults(), 2))
+    first, second = pairs[number * len(pairs) // 40]
+    async with running_cluster(slots=3) as cluster:
+        _arm(cluster, first, 0)
+        _arm(cluster, second, number % 2)
+        jobs = _jobs()
+        await _submit_all(cluster, jobs)
+        await _submit_all(cluster, list(reversed(jobs)))
+    assert len(cluster.answers) == 8
+
+
+HARMLESS = ('break_after', 'break_before', 'duplicate', 'delay', 'refuse')
+
+
+@pytest.mark.parametrize('step', ('StartTasks', 'TasksFinished'))
+@pytest.mark.parametrize('kind', HARMLESS)
+async def test_work_completes_despite(autojump_clock, step, kind):
+    """Guards against giving up work that a fault did not harm."""
+    async with running_cluster() as cluster:
+        _arm(cluster, ('guard', step, kind), 0)
+        job = JobText(12, deadline_ms=8000)
+        answer = await cluster.submit(0, job)
+    assert answer.document['state'] == 'complete'
+
+
+async def test_not_idempotent_is_sent_once(autojump_clock):
+    """Guards against a retry of work that must run at most once."""
+    async with running_cluster() as cluster:
+        _arm(cluster, ('guard', 'StartTasks', 'refuse'), 0)
+        answer = await cluster.submit(0, JobText(6, idempotent=False))
+    states = [task['run_state'] for task in answer.document['tasks']]
+    assert states.count('not_run') == 3
+
+
+KILL_TIMES_MS = (1, 5, 15, 40, 70, 120, 300)
+
+
+@pytest.mark.parametrize('guard_fault', ['', 'kill', 'break_after', 'lost'])
+@pytest.mark.parametrize('kill_ms', KILL_TIMES_MS)
+async def test_entry_killed(autojump_clock, kill_ms, guard_fault):
+    """Guards against lost or repeated tasks when an entry dies."""
+    async with running_cluster(slots=3) as cluster:
+        if guard_fault == 'lost':
+            _arm(cluster, ('control', 'TakeOver', guard_fault), 1)
+        elif guard_fault:
+            cluster.guards[1].faults['StartTasks'] = guard_fault
+        jobs = _jobs()
+        async with trio.open_nursery() as callers:
+            for job in jobs:
+                callers.start_soon(cluster.submit, 0, job)
+            await trio.sleep(kill_ms / 1000)
+            cluster.entries[0].kill()
+        killed_at = trio.current_time()
+        known = len(cluster.answers)
+        async with trio.open_nursery() as again:
+            for resubmitted in jobs:
+                again.start_soon(cluster.submit, 1, resubmitted)
+        took_s = trio.current_time() - killed_at
+    assert len(cluster.answers) == known + 4
+    # A guard that dies after the entry is ended by its own lease of 3 s.
+    # A lost answer of control costs the timeout of the call.
+    lease_s = {'kill': 3, 'lost': 4}.get(guard_fault, 0)
+    assert took_s < 3 + lease_s, 'the outcome is due within 3 s'
--- a/tests/entry/test_entry_normal.py
+++ b/tests/entry/test_entry_normal.py
@@ -15,6 +15,6 @@
                 callers.start_soon(cluster.submit, 0, JobText(count))
                 failing = JobText(count, fail=True)
                 callers.start_soon(cluster.submit, 1, failing)
-    states = [found.document['state'] for _job, found in cluster.answers]
+    states = [found.document['state'] for found in cluster.answers]
     assert states.count('complete') == 3
     assert states.count('failed') == 3
