--- a/tests/guard/harness.py
+++ b/tests/guard/harness.py
@@ -11,6 +11,10 @@
 from trio.testing import memory_stream_pair
 
 from borageward.clock import SystemClock
+from borageward.configuration import (
+    encode_configuration,
+    initial_configuration,
+)
 from borageward.controlclient import ControlClient
 from borageward.failures import Failure, FailureReason
 from borageward.guard import GuardService
@@ -31,6 +35,7 @@
     runner_address='127.0.0.1:1',
     control=(ControlAddress('127.0.0.1:2', '127.0.0.1:3'),),
 )
+_DOCUMENT = encode_configuration(initial_configuration())
 
 
 class JumpClock(SystemClock):
@@ -67,7 +72,7 @@
             return wire.Registered(
                 self.incarnation,
                 1,
-                b'',
+                _DOCUMENT,
                 ended,
                 len(ended),
             )
--- /dev/null
+++ b/tests/guard/test_settlement.py
@@ -0,0 +1,200 @@
+"""Doubled and late messages, lost links, fences and takeovers."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+import trio
+
+from borageward.failures import FailureReason
+from borageward.guard import GuardService
+from borageward.identity import new_job_id
+from borageward.messages import guard as link
+from borageward.messages.task import TaskPhase
+from borageward.policy.fifo_scheduler import FifoSlotScheduler
+from borageward.telemetry import EventLog
+from tests.guard import harness
+
+_JOB = new_job_id(1)
+_OTHER = new_job_id(2)
+
+
+@pytest.mark.parametrize('pause_s', [0, 0.05, 0.2, 40, 700])
+@pytest.mark.parametrize('same_link', [True, False])
+async def test_doubled_start_runs_once(autojump_clock, pause_s, same_link):
+    """Guards against a second start by a doubled or very late message."""
+    settings = attrs.evolve(harness.SETTINGS, result_retention_ms=1000)
+    async with harness.running_guard(settings) as bench:
+        entry = await bench.entry(1)
+        message = harness.start(_JOB, 1, range(10), run_ms=100)
+        await entry.send(message)
+        await trio.sleep(pause_s)
+        if pause_s > 600:
+            # The record has expired: only control refuses so old a job.
+            await entry.send(link.Settle(_JOB, 1, 1, (0,), 1))
+            await trio.sleep(0.1)
+            settled = entry.of_type(link.Settled)[0]
+            assert harness.phases(settled)[0] is TaskPhase.NOT_RUN
+            return
+        second = entry if same_link else await bench.entry(1)
+        await second.send(message)
+        await second.send(harness.start(_JOB, 1, range(10), attempt=2))
+        await trio.sleep(2)
+        assert sorted(bench.starts_of(_JOB)) == list(range(10))
+        assert not entry.refusals()
+        assert not second.refusals()
+
+
+@pytest.mark.parametrize('settles', [True, False])
+async def test_taken_back_attempt_never_starts(autojump_clock, settles):
+    """Guards against a late start of an attempt reported as not run."""
+    async with harness.running_guard() as bench:
+        entry = await bench.entry(1)
+        await entry.send(harness.start(_OTHER, 1, range(8), run_ms=500))
+        await entry.send(harness.start(_JOB, 1, [0], attempt=1))
+        request = link.Withdraw(_JOB, 1, (0, 1), 1)
+        if settles:
+            request = link.Settle(_JOB, 1, 1, (0, 1), 1, withdraw_queued=True)
+        await entry.send(request)
+        await entry.send(harness.start(_JOB, 1, [0, 1], attempt=1))
+        await trio.sleep(1)
+        settled = entry.of_type(link.Settled)[0]
+        assert set(harness.phases(settled).values()) == {TaskPhase.NOT_RUN}
+        assert len(entry.refusals()) == 2
+        assert not bench.starts_of(_JOB)
+        await entry.send(harness.start(_JOB, 1, [0, 1], attempt=2))
+        # A late request for the first attempt leaves the second alone.
+        await entry.send(request)
+        await trio.sleep(1)
+        assert sorted(bench.starts_of(_JOB)) == [0, 1]
+
+
+async def test_reconnected_entry_gets_results_again(autojump_clock):
+    """Guards against results lost with a link, or kept from their entry."""
+    async with harness.running_guard() as bench:
+        entry = await bench.entry(1, acknowledges=False)
+        await entry.send(harness.start(_JOB, 1, range(3), run_ms=50))
+        await entry.send(harness.start(_OTHER, 1, range(3), run_ms=500))
+        await trio.sleep(0.2)
+        await entry.drop()
+        stranger = await bench.entry(2)
+        again = await bench.entry(1)
+        await trio.sleep(1)
+        assert len(again.outcomes()) == 6
+        assert not stranger.outcomes()
+        third = await bench.entry(1)
+        await trio.sleep(1)
+        assert not third.outcomes()
+
+
+async def test_takeover_settles_the_job_of_an_ended_entry(autojump_clock):
+    """Guards against a takeover that loses, doubles or hides a start."""
+    async with harness.running_guard(slots=2) as bench:
+        old = await bench.entry(1)
+        await old.send(harness.start(_JOB, 1, range(4), run_ms=400))
+        await old.send(harness.start(_OTHER, 1, [0], run_ms=400))
+        await trio.sleep(0.1)
+        await old.drop()
+        new = await bench.entry(2)
+        await new.send(link.Fence(2, 1))
+        await trio.sleep(0.1)
+        fenced = new.of_type(link.Fenced)[0]
+        assert fenced.guard_incarnation == 101
+        assert fenced.seen == (link.SeenJob(_JOB, (0, 1)),)
+        await new.send(link.Settle(_JOB, 2, 1, (0, 1, 2, 3), 5))
+        await trio.sleep(0.1)
+        assert harness.phases(new.of_type(link.Settled)[0]) == {
+            0: TaskPhase.RUNNING,
+            1: TaskPhase.RUNNING,
+            2: TaskPhase.NOT_RUN,
+            3: TaskPhase.NOT_RUN,
+        }
+        late = await bench.entry(1)
+        await late.send(harness.start(_JOB, 1, range(4), attempt=9))
+        await new.send(harness.start(_JOB, 2, (2, 3)))
+        await trio.sleep(2)
+        assert set(new.outcomes()) == {(_JOB, index) for index in range(4)}
+        assert set(late.refusals()) == {(_JOB, 2, 9), (_JOB, 3, 9)}
+        assert sorted(bench.starts_of(_JOB)) == [0, 1, 2, 3]
+        assert not bench.starts_of(_OTHER)
+        harness.check_not_run(bench, harness.refusal_claims(late))
+
+
+async def test_second_takeover_sees_the_first_owner(autojump_clock):
+    """Guards against a start hidden by an owner that ended in a takeover."""
+    async with harness.running_guard() as bench:
+        first = await bench.entry(1)
+        await first.send(harness.start(_JOB, 1, [0]))
+        await trio.sleep(0.1)
+        second = await bench.entry(2)
+        await second.send(link.Fence(2, 1))
+        await second.drop()
+        third = await bench.entry(3)
+        await third.send(link.Fence(3, 2))
+        await trio.sleep(0.1)
+        seen = third.of_type(link.Fenced)[0].seen
+        assert seen == (link.SeenJob(_JOB, (0,)),)
+        await third.send(link.Settle(_JOB, 3, 2, (0,), 1))
+        await second.connect()
+        await second.send(link.Settle(_JOB, 2, 1, (0,), 1))
+        await trio.sleep(0.1)
+        report = third.of_type(link.Settled)[0].reports[0]
+        assert report.phase is TaskPhase.FINISHED
+        assert report.outcome.result == b'null'
+        assert not second.of_type(link.Settled)
+
+
+async def test_results_are_dropped_by_time(autojump_clock):
+    """Guards against unbounded results, and against one dropped early."""
+    settings = attrs.evolve(harness.SETTINGS, max_result_bytes=5000)
+    async with harness.running_guard(settings) as bench:
+        entry = await bench.entry(1)
+        gone = await bench.entry(2, acknowledges=False)
+        await entry.send(harness.start(_JOB, 1, range(2), echo='x' * 2000))
+        await gone.send(harness.start(_OTHER, 2, [0]))
+        await trio.sleep(20)
+        reasons = await _reasons(entry, _JOB, 1, (0, 1))
+        assert reasons.count(None) == 1
+        await trio.sleep(15)
+        lost = FailureReason.RESULT_LOST
+        assert await _reasons(entry, _JOB, 1, (0, 1)) == [lost, lost]
+        await trio.sleep(540)
+        assert await _reasons(gone, _OTHER, 2, (0,)) == [None]
+        await trio.sleep(60)
+        assert await _reasons(gone, _OTHER, 2, (0,)) == [lost]
+
+
+async def _reasons(entry, job_id, owner, indexes):
+    await entry.send(link.Settle(job_id, owner, owner, indexes, 1))
+    await trio.sleep(0.1)
+    reports = entry.of_type(link.Settled)[-1].reports
+    assert {report.phase for report in reports} == {TaskPhase.FINISHED}
+    return [report.outcome.reason for report in reports]
+
+
+async def test_restarted_guard_fences_before_its_first_start(autojump_clock):
+    """Guards against a start of an ended entry at a new guard process."""
+    async with harness.running_guard() as bench:
+        await bench.guard.close()
+        bench.control.ended.append(1)
+        restarted = GuardService(
+            harness.SETTINGS,
+            'nadi-depot',
+            bench.clock,
+            EventLog(),
+            FifoSlotScheduler(8),
+            network=bench.network,
+        )
+        await restarted.start(bench.nursery)
+        early = await bench.entry(1)
+        await early.send(harness.start(_JOB, 1, [0]))
+        await trio.sleep(0.5)
+        assert not early.of_type(link.Welcome)
+        entry = await bench.entry(1)
+        welcome = entry.of_type(link.Welcome)[0]
+        assert welcome.guard_incarnation == 102
+        await entry.send(harness.start(_JOB, 1, [0]))
+        await trio.sleep(0.5)
+        fenced = FailureReason.INCARNATION_FENCED
+        assert entry.refusals() == {(_JOB, 0, 1): fenced}
+        assert not bench.starts()
