Add log levels, event names and the timeline

Cause: events of several processes could not be read together, the names of events were defined nowhere, and a log line cost 24 to 42 us.

Change: lines carry a stamp that increases within a process, a level filter is checked before a line is built, and eliot's message identity is left out. borageward timeline merges log files by the order of each process and by the steps of a task (claim, start sent, received, run, result, answer), as text or as a picture; matplotlib is loaded there only. docs/events.md is generated.

--- a/src/borageward/cli/main.py
+++ b/src/borageward/cli/main.py
@@ -10,7 +10,7 @@
 import defopt
 import trio
 
-from borageward.cli import commands, voters
+from borageward.cli import commands, tracing, voters
 from borageward.cli.exits import ExitCode, Report, exit_code
 from borageward.cli.options import unknown_option
 from borageward.cli.output import show_progress
@@ -40,7 +40,11 @@
 
 def _run(argv: list[str] | None) -> int:
     words = sys.argv[1:] if argv is None else argv
-    functions = (*commands.COMMANDS.values(), *voters.COMMANDS.values())
+    functions = (
+        *commands.COMMANDS.values(),
+        *voters.COMMANDS.values(),
+        tracing.timeline,
+    )
     unknown = unknown_option(words, functions)
     if unknown is not None:
         show_progress(f'borageward: unknown option {unknown}')
@@ -48,6 +52,7 @@
     command: Command = defopt.run(
         {
             **commands.COMMANDS,
+            'timeline': tracing.timeline,
             'voters': dict(voters.COMMANDS),
         },
         argv=words,
--- a/src/borageward/cli/reference.py
+++ b/src/borageward/cli/reference.py
@@ -6,12 +6,14 @@
 import sys
 
 from borageward.settings.reference import reference_page, schema_text
+from borageward.telemetry.events import events_page
 
 
 def reference_files() -> dict[str, str]:
     """Return the text of each generated file by its name under docs/."""
     return {
         'settings.schema.json': schema_text(),
+        'events.md': events_page(),
         'settings.md': reference_page(),
     }
 
--- a/src/borageward/telemetry/__init__.py
+++ b/src/borageward/telemetry/__init__.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from borageward.telemetry.log import EventLog, format_line, open_log
+from borageward.telemetry.line import format_line, parse_line
+from borageward.telemetry.log import EventLog, open_log
 from borageward.telemetry.metrics import Metrics
 
-__all__ = ('EventLog', 'Metrics', 'format_line', 'open_log')
+__all__ = ('EventLog', 'Metrics', 'format_line', 'open_log', 'parse_line')
--- /dev/null
+++ b/src/borageward/telemetry/events.py
@@ -0,0 +1,167 @@
+"""Names of all events, with their fields and meaning.
+
+The steps of a task carry ``job``, ``task`` and ``attempt``; the timeline
+orders them by this chain across processes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from types import MappingProxyType
+
+import attrs
+
+JOB_CLAIMED = 'job_claimed'
+TASK_START_SENT = 'task_start_sent'
+TASK_START_RECEIVED = 'task_start_received'
+TASK_RUN_STARTED = 'task_run_started'
+TASK_RUN_FINISHED = 'task_run_finished'
+TASK_RESULT_SENT = 'task_result_sent'
+TASK_RESULT_RECEIVED = 'task_result_received'
+JOB_ANSWERED = 'job_answered'
+
+# Each step of a task happens before the next one.
+TASK_STEPS = (
+    TASK_START_SENT,
+    TASK_START_RECEIVED,
+    TASK_RUN_STARTED,
+    TASK_RUN_FINISHED,
+    TASK_RESULT_SENT,
+    TASK_RESULT_RECEIVED,
+)
+
+
+@attrs.frozen(slots=True)
+class EventDescription:
+    """Level, fields beside those of the process, and meaning."""
+
+    level: str
+    fields: str
+    meaning: str
+
+
+def _step(fields: str, meaning: str) -> EventDescription:
+    return EventDescription('debug', fields, meaning)
+
+
+def _info(fields: str, meaning: str) -> EventDescription:
+    return EventDescription('info', fields, meaning)
+
+
+def _warning(fields: str, meaning: str) -> EventDescription:
+    return EventDescription('warning', fields, meaning)
+
+
+def _error(fields: str, meaning: str) -> EventDescription:
+    return EventDescription('error', fields, meaning)
+
+
+EVENTS: Mapping[str, EventDescription] = MappingProxyType(
+    {
+        JOB_CLAIMED: _step(
+            'job, incarnation, claimed_at',
+            'The claim is synced by a majority, before any start.',
+        ),
+        TASK_START_SENT: _step(
+            'job, task, attempt, worker',
+            'The entry is about to send the start.',
+        ),
+        TASK_START_RECEIVED: _step(
+            'job, task, attempt, worker, incarnation',
+            'The guard has recorded the start.',
+        ),
+        TASK_RUN_STARTED: _step(
+            'job, task, attempt, worker',
+            'The guard is about to send the task to the runner.',
+        ),
+        TASK_RUN_FINISHED: _step(
+            'job, task, attempt, worker, reason',
+            'The runner has answered or failed.',
+        ),
+        TASK_RESULT_SENT: _step(
+            'job, task, attempt, worker',
+            'The guard is about to send the outcome to the entry.',
+        ),
+        TASK_RESULT_RECEIVED: _step(
+            'job, task, attempt, worker',
+            'The entry has recorded the outcome.',
+        ),
+        JOB_ANSWERED: _step(
+            'job, status, reason',
+            'The whole answer or the typed failure is about to be sent.',
+        ),
+        'process_started': _info('', 'All roles of the process serve.'),
+        'process_stopping': _info(
+            '', 'A shutdown began; accepted requests finish.'
+        ),
+        'process_stopped': _info('', 'All roles of the process are closed.'),
+        'entry_draining': _info('', 'The entry accepts no new jobs.'),
+        'entry_closed': _info('', 'The entry has answered its last job.'),
+        'incarnation_started': _info(
+            'incarnation', 'Control gave the entry an incarnation.'
+        ),
+        'incarnation_ended': _warning(
+            '', 'Control ended the incarnation of the entry.'
+        ),
+        'request_failed': _warning(
+            'error', 'A request failed in an unexpected way.'
+        ),
+        'guard_registered': _info(
+            'incarnation', 'Control gave the guard an incarnation.'
+        ),
+        'guard_leaving': _info('', 'The guard refuses new starts.'),
+        'guard_ended': _warning('incarnation', 'Control ended the guard.'),
+        'guard_closed': _info(
+            'undelivered', 'The guard has finished its last task.'
+        ),
+        'link_malformed': _warning(
+            'detail', 'A peer sent an unreadable message.'
+        ),
+        'leader_started': _info('term', 'The replica leads.'),
+        'leader_stopped': _info('term', 'The replica leads no more.'),
+        'leader_changed': _info(
+            'term, leader', 'The replica follows another leader.'
+        ),
+        'majority_lost': _warning(
+            'term', 'The leader stepped down without a majority.'
+        ),
+        'lease_expired': _info(
+            'incarnation', 'Control ended a silent process.'
+        ),
+        'snapshot_taken': _info(
+            'position', 'The log was compacted into a snapshot.'
+        ),
+        'storage_failed': _error(
+            'detail', 'A write or sync failed; the process ends.'
+        ),
+        'replica_has_another_disk': _warning(
+            'voter_id',
+            'A voter came back without its disk and is not counted.',
+        ),
+    }
+)
+
+
+def events_page() -> str:
+    """Return the reference page of the events as Markdown."""
+    rows = [
+        f'| `{name}` | {event.level} | {event.fields} | {event.meaning} |'
+        for name, event in EVENTS.items()
+    ]
+    return '\n'.join((*_PAGE_HEAD, *rows, ''))
+
+
+_PAGE_HEAD = (
+    '# Events',
+    '',
+    'Generated from `src/borageward/telemetry/events.py` by',
+    '`scripts/reference`. Each line has `t` (microseconds of wall time,',
+    'increasing within a process), `level`, `event`, `process` and `place`,',
+    'then the fields below.',
+    'Text that is not plain is quoted as JSON. `borageward timeline` merges',
+    'the files of several processes in causal order; it needs level `debug`',
+    'for the steps of single tasks.',
+    '',
+    '| event | level | fields | meaning |',
+    '|---|---|---|---|',
+)
--- a/src/borageward/telemetry/log.py
+++ b/src/borageward/telemetry/log.py
@@ -2,28 +2,26 @@
 
 from __future__ import annotations
 
-import json
 import pathlib
-import re
 import sys
+import time
 from typing import IO, Any
 
 import eliot
 
-_PLAIN = re.compile(r'[A-Za-z0-9_.:/@+-]+')
-_HIDDEN_KEYS = frozenset(('task_uuid', 'task_level', 'message_type'))
+from borageward.telemetry.line import format_line
 
-
-def format_line(fields: dict[str, Any]) -> str:
-    """Return one log line; text that is not plain is quoted as JSON.
-
-    Quoting escapes line breaks, so that a caller's text cannot forge a line.
-    """
-    return ' '.join(f'{key}={_format(fields[key])}' for key in fields)
+_LEVELS = ('debug', 'info', 'warning', 'error')
+_NS_PER_US = 1000
 
 
 class EventLog:
-    """Log of one process; every line carries the process's own fields."""
+    """Log of one process; every line carries the process's own fields.
+
+    The process binds ``process`` and ``place``; ``t`` and ``level`` are added
+    to each line. ``t`` increases from line to line within a process, also
+    when the wall clock is set back.
+    """
 
     def __init__(self, **fields: Any) -> None:
         """Prepare a log whose lines carry the fields."""
@@ -33,48 +31,89 @@
         """Return a log whose lines carry further fields."""
         return EventLog(**{**self._fields, **fields})
 
+    def debug(self, name: str, **fields: Any) -> None:
+        """Write one event at level ``debug``, for steps of single tasks."""
+        if _destination.writes('debug'):
+            self._write('debug', name, fields)
+
     def event(self, name: str, **fields: Any) -> None:
         """Write one event at level ``info``."""
-        self._write('info', name, fields)
+        if _destination.writes('info'):
+            self._write('info', name, fields)
 
     def warning(self, name: str, **fields: Any) -> None:
         """Write one event at level ``warning``."""
-        self._write('warning', name, fields)
+        if _destination.writes('warning'):
+            self._write('warning', name, fields)
+
+    def error(self, name: str, **fields: Any) -> None:
+        """Write one event at level ``error``."""
+        self._write('error', name, fields)
 
     def _write(self, level: str, name: str, fields: dict[str, Any]) -> None:
-        eliot.log_message(
-            name,
-            level=level,
-            event=name,
-            **self._fields,
-            **fields,
+        # eliot.log_message adds an identity and a level to each message,
+        # which a line does not show and which cost more than the line.
+        _logger.write(
+            {
+                't': _stamps.next(),
+                'level': level,
+                'event': name,
+                **self._fields,
+                **fields,
+            }
         )
 
 
-def open_log(path: str) -> None:
-    """Send all events to a file, or to standard error without a path."""
+def open_log(path: str, level: str = 'info') -> None:
+    """Send events of a level and above to a file, or to standard error.
+
+    A later call replaces the earlier destination. ``OSError`` when the file
+    cannot be opened.
+    """
     stream: IO[str] = sys.stderr
     if path:
         stream = pathlib.Path(path).open('a', encoding='utf-8', buffering=1)
-    eliot.add_destinations(_LineDestination(stream))
+    _destination.open(stream, level)
 
 
-class _LineDestination:
+class _Stamps:
+    """Strictly increasing wall time in microseconds since the epoch."""
+
+    def __init__(self) -> None:
+        self._last_us = 0
+
+    def next(self) -> str:
+        """Return the next stamp."""
+        now_us = time.time_ns() // _NS_PER_US
+        self._last_us = max(now_us, self._last_us + 1)
+        return str(self._last_us)
+
+
+class _Destination:
     """Writes eliot messages as lines."""
 
-    def __init__(self, stream: IO[str]) -> None:
-        self._stream = stream
+    def __init__(self) -> None:
+        self._stream: IO[str] | None = None
+        self._written = frozenset(_LEVELS)
 
     def __call__(self, message: dict[str, Any]) -> None:
-        fields = {'t': f'{message.pop("timestamp"):.6f}'}
-        for key in message:
-            if key not in _HIDDEN_KEYS:
-                fields[key] = message[key]
-        self._stream.write(f'{format_line(fields)}\n')
-
-
-def _format(value: Any) -> str:
-    text = str(value)
-    if _PLAIN.fullmatch(text):
-        return text
-    return json.dumps(text)
+        """Write one message; messages of libraries have no event."""
+        if self._stream is not None and 'event' in message:
+            line = format_line(message)
+            self._stream.write(f'{line}\n')
+
+    def open(self, stream: IO[str], level: str) -> None:
+        """Write to a stream from now on."""
+        if self._stream is None:
+            eliot.add_destinations(self)
+        self._stream = stream
+        self._written = frozenset(_LEVELS[_LEVELS.index(level) :])
+
+    def writes(self, level: str) -> bool:
+        """Tell whether events of a level are written."""
+        return level in self._written
+
+
+_stamps = _Stamps()
+_destination = _Destination()
+_logger = eliot.Logger()
--- /dev/null
+++ b/tests/timeline/test_order.py
@@ -0,0 +1,111 @@
+"""Timelines of processes whose clocks differ."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from borageward.cli.exits import ExitCode
+from borageward.cli.main import main
+from borageward.telemetry import format_line
+from borageward.telemetry.events import (
+    JOB_ANSWERED,
+    JOB_CLAIMED,
+    TASK_STEPS,
+)
+from borageward.timeline import causal_order, read_events
+
+_JOB = '0193aaaa-0000-7000-8000-000000000001'
+_OTHER = '0193aaaa-0000-7000-8000-000000000002'
+_ON_GUARD = TASK_STEPS[1:5]
+_STEPS = (JOB_CLAIMED, *TASK_STEPS, JOB_ANSWERED)
+
+
+def _line(process, stamp_us, name, job=_JOB, **fields):
+    head = {'t': stamp_us, 'level': 'debug', 'event': name, 'process': process}
+    return format_line({**head, 'place': 'kingston', 'job': job, **fields})
+
+
+def _write_logs(folder, skew_us):
+    entry, guard = [], []
+    for number, name in enumerate(_STEPS):
+        on_guard = name in _ON_GUARD
+        fields = {}
+        if name in TASK_STEPS:
+            fields = {'task': 0, 'attempt': 1, 'worker': 'worker-01'}
+        stamp_us = 1_000_000 * (1000 + number) + skew_us * on_guard
+        process = 'guard-01' if on_guard else 'entry-1'
+        lines = guard if on_guard else entry
+        lines.append(_line(process, stamp_us, name, **fields))
+    entry.append(_line('entry-1', 2_000_000_000, JOB_CLAIMED, _OTHER))
+    paths = folder / 'entry.log', folder / 'guard.log'
+    paths[0].write_text('\n'.join([*entry, 'torn t=1']))
+    paths[1].write_text('\n'.join(guard))
+    return paths
+
+
+@pytest.mark.parametrize('skew_us', [0, -500_000_000, 500_000_000])
+def test_steps_are_in_causal_order(tmp_path, skew_us):
+    """Guards against a result shown before its start, with skewed clocks."""
+    logs = read_events(_write_logs(tmp_path, skew_us))
+    assert logs.skipped == 1
+    ordered = causal_order(logs.events)
+    names = [event.name for event in ordered if event.fields['job'] == _JOB]
+    assert names == list(_STEPS)
+
+
+def test_contradicting_logs_keep_all_events(tmp_path):
+    """Guards against events lost, or no end, for logs that form a cycle."""
+    lines = [
+        _line('entry-1', 100 - number, name, task=0, attempt=1)
+        for number, name in enumerate(reversed(TASK_STEPS))
+    ]
+    random.Random(20261204).shuffle(lines)
+    path = tmp_path / 'entry.log'
+    path.write_text('\n'.join(lines))
+    logs = read_events((path,))
+    ordered = causal_order(logs.events)
+    assert sorted(map(id, ordered)) == sorted(map(id, logs.events))
+
+
+def test_timeline_of_a_job(tmp_path, capsys, snapshot):
+    """Guards against a command that shows other jobs or hides steps."""
+    paths = [str(path) for path in _write_logs(tmp_path, -500_000_000)]
+    assert main(['timeline', *paths, '--job', _JOB]) == ExitCode.DONE
+    shown = capsys.readouterr()
+    assert shown.err == '1 lines are no events\n'
+    assert shown.out == snapshot
+
+
+def test_time_span_and_worker(tmp_path, capsys):
+    """Guards against a span or worker that is ignored."""
+    paths = [str(path) for path in _write_logs(tmp_path, 0)]
+    words = ['--worker', 'worker-01', '--until', '1970-01-01T00:16:43+00:00']
+    assert main(['timeline', *paths, *words]) == ExitCode.DONE
+    assert len(capsys.readouterr().out.splitlines()) == 3
+
+
+@pytest.mark.parametrize(
+    ('words', 'message'),
+    [
+        (['missing.log'], 'No such file'),
+        ([], 'no log file'),
+        (['x.log', '--since', 'noon'], 'is not a time'),
+        (['x.log', '--since', '2026-12-04T09:00'], 'ambiguous'),
+    ],
+)
+def test_wrong_use_is_one_line(words, message, capsys):
+    """Guards against a traceback for a wrong file or time."""
+    assert main(['timeline', *words]) == ExitCode.USAGE
+    assert message in capsys.readouterr().err
+
+
+def test_picture_is_drawn(tmp_path):
+    """Guards against a picture that cannot be drawn or has a wrong form."""
+    paths = [str(path) for path in _write_logs(tmp_path, 0)]
+    picture = tmp_path / 'timeline.svg'
+    words = ['timeline', *paths, '--picture', str(picture)]
+    assert main(words) == ExitCode.DONE
+    assert '<svg' in picture.read_text()
+    assert main([*words[:-1], 'timeline.gif']) == ExitCode.USAGE
