Bind an approval to the change and answer query requests

Cause: control could not tell whether the digest of an approved plan was sent along with the change that the plan states.

Change: ApplyChange carries the plan text; plan_covers checks the digest, the base revision and the stated change. answer_request serves the body of POST /v1/query for an entry.

--- a/src/borageward/cli/changes.py
+++ b/src/borageward/cli/changes.py
@@ -165,6 +165,7 @@
         operator,
         application.reason,
         plan.digest,
+        plan.text,
     )
     reply = await control.call(request, Applied)
     if isinstance(reply, Failure):
--- a/src/borageward/language/__init__.py
+++ b/src/borageward/language/__init__.py
@@ -13,6 +13,7 @@
 from borageward.language.plan import (
     Plan,
     make_plan,
+    plan_covers,
     plan_digest,
     plan_states_change,
 )
@@ -24,6 +25,7 @@
     Subject,
 )
 from borageward.language.sentences import sentence_of
+from borageward.language.service import answer_request
 from borageward.language.undo import undo_change
 
 __all__ = (
@@ -38,9 +40,11 @@
     'Source',
     'Subject',
     'answer_from',
+    'answer_request',
     'format_answer',
     'make_plan',
     'parse_sentence',
+    'plan_covers',
     'plan_digest',
     'plan_states_change',
     'run_query',
--- a/src/borageward/language/plan.py
+++ b/src/borageward/language/plan.py
@@ -13,7 +13,7 @@
 from borageward.language.effects import Comparison, effects
 from borageward.language.sentences import sentence_of
 from borageward.messages.configuration import ConfigurationChange
-from borageward.messages.control import GuardMember
+from borageward.messages.control import ApplyChange, GuardMember
 
 _DIGEST_BYTES = 16
 _REVISION_BYTES = 8
@@ -50,6 +50,18 @@
     return f'{_CHANGE_PREFIX}{sentence_of(change)}' in text.splitlines()
 
 
+def plan_covers(request: ApplyChange) -> bool:
+    """Tell whether the digest of a request stands for its own change.
+
+    Control asks this where an approval is required: otherwise the digest of
+    one approved plan could be sent along with another change.
+    """
+    digest = plan_digest(request.plan_text, request.base_revision)
+    if digest != request.plan_digest:
+        return False
+    return plan_states_change(request.plan_text, request.change)
+
+
 def make_plan(
     configuration: Configuration,
     base_revision: int,
--- a/src/borageward/messages/control.py
+++ b/src/borageward/messages/control.py
@@ -249,7 +249,9 @@
     """Compare-and-set of the configuration.
 
     ``plan_digest`` is the digest of the exact plan text that was approved, or
-    empty. The same command id gets its first outcome again.
+    empty. ``plan_text`` is that text; it states the change, so that control
+    can tell whether the approval covers the change. The same command id gets
+    its first outcome again.
     """
 
     command_id: bytes
@@ -258,6 +260,7 @@
     author: str
     reason: str
     plan_digest: bytes = b''
+    plan_text: str = ''
 
 
 class Approve(Message, frozen=True):
--- a/tests/language/test_execution.py
+++ b/tests/language/test_execution.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from borageward.failures import Failure, FailureReason
@@ -9,6 +10,7 @@
     AnswerFormat,
     EntryStatus,
     answer_from,
+    answer_request,
     format_answer,
     parse_sentence,
     run_query,
@@ -96,3 +98,27 @@
     answer = run_query(query, (EntryStatus('entry-1', found),))
     assert not answer.complete
     assert '1 more rows left out' in format_answer(answer, AnswerFormat.LINES)
+
+
+@pytest.mark.parametrize(
+    ('body', 'message'),
+    [
+        (b'{', 'truncated'),
+        (b'{"sentence": "show job"}', 'column 6'),
+        (b'{"sentence": "show limits"}', 'only'),
+        (b'{"sentence": "require approval"}', 'only'),
+        (b'{"sentence": "show jobs", "limit": 0}', 'limit'),
+    ],
+)
+def test_wrong_request_is_a_typed_failure(body, message):
+    """Guards against an entry that raises on an operator's mistake."""
+    outcome = answer_request(body, _Source())
+    assert outcome.reason is FailureReason.INVALID_REQUEST
+    assert message in outcome.detail
+
+
+def test_request_is_answered_as_json():
+    """Guards against an answer that the command line cannot read."""
+    body = answer_request(b'{"sentence": "show refused jobs"}', _Source())
+    found = msgspec.json.decode(body, type=EntrySnapshot)
+    assert found.jobs == (_REFUSED,)
--- a/tests/language/test_plan.py
+++ b/tests/language/test_plan.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import attrs
+import msgspec
 import pytest
 
 from borageward.configuration import Limits, initial_configuration
@@ -10,12 +11,13 @@
 from borageward.language import (
     make_plan,
     parse_sentence,
+    plan_covers,
     plan_digest,
     plan_states_change,
     undo_change,
 )
 from borageward.language.limits import LIMIT_MEANINGS
-from borageward.messages.control import GuardMember
+from borageward.messages.control import ApplyChange, GuardMember
 
 _PLACES = ('nadi-depot', 'lautoka-yard', 'sigatoka-shed', 'nadrau-pass')
 _GUARDS = tuple(
@@ -82,6 +84,21 @@
     assert not plan_states_change(plan.text, other)
 
 
+def test_request_carries_the_plan_of_its_change():
+    """Guards against an approval used for another change or revision."""
+    change = parse_sentence('set quota of dispatch to 4 slots')
+    plan = make_plan(_BASE, 3, change, _GUARDS)
+    other = parse_sentence('set quota of dispatch to 40 slots')
+    good = ApplyChange(b'1', 3, change, 'ana', '', plan.digest, plan.text)
+    assert plan_covers(good)
+    for wrong in (
+        {'change': other},
+        {'base_revision': 4},
+        {'plan_text': plan.text.replace('4 slots', '40 slots')},
+    ):
+        assert not plan_covers(msgspec.structs.replace(good, **wrong))
+
+
 def test_invalid_change_has_no_plan():
     """Guards against a plan for a change that control will refuse."""
     change = parse_sentence('set quota of forecast to 4 slots')
