--- a/tests/access/test_access.py
+++ b/tests/access/test_access.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import datetime
+import subprocess  # noqa: S404
+import sys
 
 import pytest
 import trustme
@@ -69,6 +71,22 @@
     return outcome.detail
 
 
+def test_guard_loads_no_large_library():
+    """Guards against an import that exceeds the memory limit of a guard."""
+    script = (
+        'import sys, borageward.access, borageward.settings, '
+        'borageward.telemetry, borageward.configuration; '
+        'print(set(sys.modules) & set(sys.argv[1:]))'
+    )
+    large = ('grpc', 'cryptography', 'lark', 'httpx', 'matplotlib', 'quart')
+    finished = subprocess.run(  # noqa: S603
+        [sys.executable, '-c', script, *large],
+        capture_output=True,
+        check=True,
+    )
+    assert finished.stdout == b'set()\n'
+
+
 def test_off_only_when_said():
     """Guards against plain text links when the files cannot be read."""
     assert open_tls(TlsSettings('off')) is None
