--- a/bench/policies/ideal.py
+++ b/bench/policies/ideal.py
@@ -14,9 +14,7 @@
     Tasks are bound in order of arrival to the slot where they finish first;
     run times and speeds are known exactly.
     """
-    free_ms = [
-        [speed, 0.0] for speed in deployment.speeds for _ in range(SLOTS)
-    ]
+    free_ms = [[speed, 0] for speed in deployment.speeds for _ in range(SLOTS)]
     responses = {}
     for job in jobs:
         finish_ms = job.arrival_ms
--- a/bench/policies/workload.py
+++ b/bench/policies/workload.py
@@ -14,6 +14,7 @@
 LONG_FACTOR = 50
 MAX_TASKS = 150
 URGENT_MAX_TASKS = 15
+URGENT_SHARE = 0.1
 LONG_MAX_TASKS = 5
 # Run times at speed 1 in milliseconds, uniform in a range for each kind.
 KINDS = (
@@ -100,6 +101,7 @@
     deadline_ms: float
     sizes_ms: tuple[float, ...]
     poison: bool = False
+    service: str = ''
     entry: int = 0
     left: int = 0
     answered_ms: float | None = None
@@ -141,12 +143,8 @@
     jobs: list[Job] = []
     now_ms: float = 0
     for number in itertools.count():
-        factor = load.level
-        crest_end_ms = load.crest_start_ms + load.crest_ms
-        if load.crest_start_ms <= now_ms < crest_end_ms:
-            factor = load.crest_factor
-        mean_gap_ms = mean_ms / (deployment.capacity * factor)
-        now_ms += source.expovariate(1 / mean_gap_ms)
+        work_rate = deployment.capacity * _demand(load, now_ms)
+        now_ms += source.expovariate(work_rate / mean_ms)
         if now_ms > load.duration_ms:
             break
         jobs.append(_job(source, load, number, now_ms))
@@ -154,6 +152,14 @@
     return jobs
 
 
+def _demand(load: Load, now_ms: float) -> float:
+    """Return the demand at a time in multiples of the capacity."""
+    since_ms = now_ms - load.crest_start_ms
+    if since_ms >= 0 and since_ms < load.crest_ms:
+        return load.crest_factor
+    return load.level
+
+
 def _job(source: random.Random, load: Load, number: int, now_ms: float) -> Job:
     if source.random() < _long_job_share(load):
         count = source.randint(1, LONG_MAX_TASKS)
@@ -166,7 +172,7 @@
             deadline_ms=LONG_DEADLINE_MS,
             sizes_ms=tuple(sizes),
         )
-    urgent = source.random() < 0.1
+    urgent = source.random() < URGENT_SHARE
     largest = URGENT_MAX_TASKS if urgent else MAX_TASKS
     count = int(largest ** source.random())
     kind, low, high = source.choice(KINDS)
@@ -179,7 +185,7 @@
         urgent=urgent,
         deadline_ms=URGENT_DEADLINE_MS if urgent else DEADLINE_MS,
         sizes_ms=tuple(
-            size * (LONG_FACTOR if source.random() < hidden else 1)
+            LONG_FACTOR * size if source.random() < hidden else size
             for size in sizes
         ),
         poison=source.random() < load.poison_share,
--- a/src/borageward/configuration/limits.py
+++ b/src/borageward/configuration/limits.py
@@ -19,7 +19,7 @@
     max_predicted_wait_ms: int = 1000
     # A job is refused when its predicted wait leaves less than this share of
     # its deadline.
-    admission_margin: float = 0.1
+    admission_margin: float = 0.25
     # Retries after a proved ``not_run``, as a share of fresh starts.
     retry_budget_share: float = 0.1
     retry_backoff_ms: int = 10
@@ -41,8 +41,10 @@
     announcements_per_start: float = 0.15
     announced_change_tasks: int = 3
     # Outliers.
-    outlier_window: int = 20
-    outlier_failures: int = 10
+    # At 5% background failures and 200 starts/s a healthy worker crosses 12
+    # failures of 24 by chance 0.003 times a day; 10 of 20 gives 0.09.
+    outlier_window: int = 24
+    outlier_failures: int = 12
     outlier_probe_interval_ms: int = 1000
     max_ejected_share: float = 0.3
     # Configuration.
--- a/src/borageward/policy/adaptive_dispatch.py
+++ b/src/borageward/policy/adaptive_dispatch.py
@@ -73,6 +73,11 @@
         self._capacity = Capacity(self._workers, self._queue, self._run_times)
         self._now_ms: Milliseconds = 0
 
+    @property
+    def outliers(self) -> OutlierDetector:
+        """Return the detector of failing workers."""
+        return self._outliers
+
     @property
     def queued_tasks(self) -> int:
         """Return the number of waiting tasks, delayed ones included."""
@@ -164,6 +169,7 @@
                 task = self._send(lane, worker, now_ms)
                 batches.setdefault((worker, task.job_id), []).append(task)
             lane = self._next_lane(blocked, now_ms)
+        self._capacity.placed(now_ms)
         return [
             Assignment(worker, job_id, tuple(tasks))
             for (worker, job_id), tasks in batches.items()
@@ -312,6 +318,7 @@
             self._retries.fresh_start()
         task.attempt += 1
         self._workers.views[worker].sent(task.run_class)
+        self._capacity.sent(task)
         self._shares.started(task.service)
         self._outliers.sent(worker, now_ms)
         return task
--- a/src/borageward/policy/capacity.py
+++ b/src/borageward/policy/capacity.py
@@ -7,8 +7,10 @@
 
 from borageward.clock import Milliseconds
 from borageward.configuration import Limits
+from borageward.messages.task import RunClass
 from borageward.policy.admission import AdmissionScene
 from borageward.policy.dispatch import JobNeed, WaitingTask
+from borageward.policy.drain_rate import DrainRate
 from borageward.policy.job_queue import JobQueue
 from borageward.policy.placement import PlacementScene
 from borageward.policy.run_times import RunTimeModel
@@ -38,6 +40,7 @@
         self._queue = queue
         self._run_times = run_times
         self._entries = 1
+        self._drain = DrainRate()
 
     def configure(self, entries: int) -> None:
         """Split the capacity over the live entries."""
@@ -67,7 +70,12 @@
         now_ms: Milliseconds,
     ) -> AdmissionScene:
         """Return what an admission decision may look at."""
-        whole = self.rate(now_ms, limits)
+        run_class = self._run_times.run_class(
+            need.service,
+            need.kinds[0],
+            limits.long_task_ms,
+        )
+        whole = self.rate(now_ms, run_class)
         slots = sum(view.slots for view in self._workers.active)
         share = shares.share(need.service, self._queue.services(), slots)
         return AdmissionScene(
@@ -76,37 +84,45 @@
             job_tasks=len(need.kinds),
             urgent=need.urgent,
             remaining_ms=need.remaining_ms,
-            ahead_ms=self._queue.work_ahead_ms(
-                need,
-                self._run_times.run_class(
-                    need.service,
-                    need.kinds[0],
-                    limits.long_task_ms,
-                ),
-            ),
+            ahead_ms=self._queue.work_ahead_ms(need, run_class),
             own_ms=self._work_ms(need),
             tail_ms=self._tail_ms(need),
             rate=whole * share,
             whole_rate=whole,
         )
 
-    def rate(self, now_ms: Milliseconds, limits: Limits) -> float:
-        """Return the rate that the entry can count on now.
+    def sent(self, task: WaitingTask) -> None:
+        """Count a task that is sent to a guard."""
+        if task.run_class is RunClass.SHORT:
+            self._drain.sent(task.expected_ms)
+
+    def placed(self, now_ms: Milliseconds) -> None:
+        """Learn what the last placement left in the queue."""
+        waiting = self._queue.waiting(RunClass.SHORT, self._queue.lanes)
+        self._drain.update(now_ms, backlog=waiting > 0)
 
-        It has its equal part of all slots, what it uses already together
-        with the slots that seem free, or what other entries usually leave.
+    def rate(self, now_ms: Milliseconds, run_class: RunClass) -> float:
+        """Return the rate that the entry can count on now for a class.
+
+        During a backlog it is the measured rate. Otherwise it is what the
+        entry uses already together with the slots that seem free, or what
+        other entries usually leave. It is never below the equal part.
         """
+        equal = self._equal_rate(run_class)
+        if run_class is RunClass.LONG:
+            return equal
+        measured = self._drain.rate(now_ms)
+        if measured is not None:
+            return max(equal, measured)
         short_ms = self._run_times.short_mean_ms()
-        whole: float = 0
         usable: float = 0
         left: float = 0
         for view in self._workers.active:
             free = max(0, -view.excess(now_ms, short_ms))
             running = min(view.in_flight, view.slots)
-            whole += view.speed * view.slots
             usable += view.speed * min(view.slots, free + running)
             left += view.speed * max(0, view.slots - view.others_average)
-        return max(whole / self._entries, usable, left)
+        return max(equal, usable, left)
 
     def latest_start_ms(
         self,
@@ -125,15 +141,25 @@
             _TAIL_QUANTILE,
         )
         views = self._workers.active
-        whole = sum(view.speed * view.slots for view in views) or 1
+        equal = self._equal_rate(first.run_class) or 1
         fastest = max((view.speed for view in views), default=1)
         work_ms = sum(task.expected_ms for task in tasks)
-        needed_ms = work_ms * self._entries / whole + tail_ms
+        needed_ms = work_ms / equal + tail_ms
         return (
             first.deadline_ms - _START_RESERVE * needed_ms,
             first.deadline_ms - typical_ms / fastest,
         )
 
+    def _equal_rate(self, run_class: RunClass) -> float:
+        """Return the equal part of the slots that a class can use."""
+        whole: float = 0
+        for view in self._workers.active:
+            slots = view.slots
+            if run_class is RunClass.SHORT:
+                slots = max(1, slots - view.long_tasks)
+            whole += view.speed * slots
+        return whole / self._entries
+
     def _work_ms(self, need: JobNeed) -> Milliseconds:
         return sum(
             count * self._run_times.mean_ms(need.service, kind)
--- a/src/borageward/policy/outliers.py
+++ b/src/borageward/policy/outliers.py
@@ -23,12 +23,18 @@
 # A worker's failure share must exceed that of its peers by this much.
 _PEER_EXCESS = 0.3
 _FIRST_SPACING_MS = 50.0
+_GOOD_PROBES = 3
+_MAX_DOUBLINGS = 6
 _MAX_PROBE_INTERVAL_MS = 60_000.0
 
 
 class OutlierDetector(Protocol):
     """Decides which workers get no work because they fail it."""
 
+    @property
+    def ejection_count(self) -> int:
+        """Return the number of ejections so far."""
+
     def configure(self, limits: Limits) -> None:
         """Use new limits."""
 
@@ -68,6 +74,8 @@
     failures: int = 0
     jobs: int = 0
     ejected: bool = False
+    ejections: int = 0
+    good_probes: int = 0
     interval_ms: Milliseconds = 0
     next_probe_ms: Milliseconds = 0
 
@@ -86,6 +94,12 @@
         self._limits = limits
         self._records: dict[str, WorkerRecord] = {}
         self._job_failures = JobFailures()
+        self._ejection_count = 0
+
+    @property
+    def ejection_count(self) -> int:
+        """Return the number of ejections so far."""
+        return self._ejection_count
 
     def configure(self, limits: Limits) -> None:
         """Use new limits; windows restart when their size changes."""
@@ -167,11 +181,11 @@
         now_ms: Milliseconds,
     ) -> None:
         self._count(worker, record)
+        record.good_probes = 0
         if record.ejected:
             self._widen(record, self._limits.outlier_probe_interval_ms)
         elif self._is_outlier(worker, record):
-            record.ejected = True
-            record.interval_ms = self._limits.outlier_probe_interval_ms
+            self._eject(record)
         elif record.is_limited:
             self._widen(record, _FIRST_SPACING_MS)
         if record.is_limited:
@@ -179,12 +193,26 @@
             record.next_probe_ms = now_ms + jitter * record.interval_ms
 
     def _succeeded(self, record: WorkerRecord) -> None:
-        """Lift all limits; an ejected worker starts with an empty window."""
-        if record.ejected:
-            record.outcomes.clear()
-        record.ejected = False
+        """Lift the limits; an ejected worker needs several good probes."""
         record.streak = 0
-        record.interval_ms = 0
+        if not record.ejected:
+            record.interval_ms = 0
+            return
+        record.good_probes += 1
+        if record.good_probes >= _GOOD_PROBES:
+            record.ejected = False
+            record.interval_ms = 0
+            record.outcomes.clear()
+
+    def _eject(self, record: WorkerRecord) -> None:
+        """Set a worker aside, longer after each earlier ejection."""
+        self._ejection_count += 1
+        least_ms = self._limits.outlier_probe_interval_ms
+        grown_ms = least_ms * 2 ** min(record.ejections, _MAX_DOUBLINGS)
+        record.interval_ms = min(_MAX_PROBE_INTERVAL_MS, grown_ms)
+        record.ejected = True
+        record.ejections += 1
+        record.good_probes = 0
 
     def _widen(self, record: WorkerRecord, least_ms: Milliseconds) -> None:
         doubled = max(least_ms, record.interval_ms * 2)
@@ -231,6 +259,11 @@
 class NoOutliers:
     """Baseline: no worker is set aside."""
 
+    @property
+    def ejection_count(self) -> int:
+        """Return zero."""
+        return 0
+
     def configure(self, limits: Limits) -> None:
         """Use no limit."""
 
