--- a/tests/guard/test_faults.py
+++ b/tests/guard/test_faults.py
@@ -38,6 +38,8 @@
             'wait',
             'wait',
             'freeze',
+            'isolate',
+            'isolate',
             'cut',
             'runner_down',
             'end_guard',
@@ -73,6 +75,8 @@
         bench.control.cut = False
         bench.network.runner_down = False
         await trio.sleep(8)
+        await self._resend_everything()
+        await trio.sleep(1)
         for job, job_id in enumerate(_JOBS):
             # The last owner may be fenced and would get no answer.
             await self._take_over(job)
@@ -225,6 +229,10 @@
     async def _freeze(self, choice):
         self.bench.clock.offset_ms += 5000
 
+    async def _isolate(self, choice):
+        self.bench.control.cut = True
+        self.bench.clock.offset_ms += 6000
+
     async def _cut(self, choice):
         self.bench.control.cut = not self.bench.control.cut
 
--- /dev/null
+++ b/tests/guard/test_platform.py
@@ -0,0 +1,43 @@
+"""The platform stand-in over HTTP."""
+
+from __future__ import annotations
+
+import json
+
+import trio
+from trio.testing import memory_stream_pair
+
+from borageward.guard.runnerconnection import RunnerConnection
+from standins.platform import PlatformStandIn
+
+
+async def test_platform_reports_late_and_acts(autojump_clock, nursery):
+    """Guards against a stand-in that shows usage without its lag."""
+    platform = PlatformStandIn(['w1'], lease_ms=5000, report_lag_ms=2000)
+    near, far = memory_stream_pair()
+    nursery.start_soon(platform.serve, far)
+    connection = RunnerConnection(near, 'platform')
+
+    async def ask(method, target, **body):
+        text = json.dumps(body).encode()
+        reply = await connection.exchange(method, target, text)
+        return reply.status, json.loads(reply.body)
+
+    _, before = await ask('GET', '/workers')
+    assert before[0]['cores_used'] == 0
+    await ask('POST', '/tasks', worker='w1', task='t', cores=4)
+    await ask('POST', '/throttle', worker='w1', task='t', share=0.5)
+    done = await ask('POST', '/checkpoint', worker='w1', task='t')
+    assert done == (200, {'checkpoints': 1, 'share': 0.5})
+    _, lagged = await ask('GET', '/workers')
+    assert lagged[0]['cores_used'] == 0
+    await trio.sleep(2.5)
+    _, current = await ask('GET', '/workers')
+    assert current[0]['cores_used'] == 2
+    await ask('POST', '/stop', worker='w1', task='t')
+    gone = await ask('POST', '/stop', worker='w1', task='t')
+    assert gone[0] == 404
+    await trio.sleep(5)
+    assert (await ask('GET', '/workers'))[1] == []
+    late = await ask('POST', '/tasks', worker='w1', task='t', cores=1)
+    assert late[0] == 409
--- a/tests/guard/test_settlement.py
+++ b/tests/guard/test_settlement.py
@@ -57,7 +57,7 @@
             request = link.Settle(_JOB, 1, 1, (0, 1), 1, withdraw_queued=True)
         await entry.send(request)
         await entry.send(harness.start(_JOB, 1, [0, 1], attempt=1))
-        await trio.sleep(1)
+        await trio.sleep(0.1)
         settled = entry.of_type(link.Settled)[0]
         assert set(harness.phases(settled).values()) == {TaskPhase.NOT_RUN}
         assert len(entry.refusals()) == 2
@@ -120,6 +120,32 @@
         harness.check_not_run(bench, harness.refusal_claims(late))
 
 
+async def test_unfenced_owner_loses_its_job_by_settlement(autojump_clock):
+    """Guards against a late start of a former owner and its late answers."""
+    async with harness.running_guard(slots=1) as bench:
+        old = await bench.entry(1, acknowledges=False)
+        new = await bench.entry(2, acknowledges=False)
+        await old.send(harness.start(_JOB, 1, [0, 1], attempt=5, run_ms=300))
+        await trio.sleep(0.1)
+        await new.send(link.Settle(_JOB, 2, 1, (0, 1, 2), 0))
+        await new.send(link.Settle(_OTHER, 2, 1, (0,), 0))
+        await new.send(link.Withdraw(_JOB, 2, (1,), 1))
+        await trio.sleep(0.1)
+        settled = new.of_type(link.Settled)
+        assert harness.phases(settled[0])[1] is TaskPhase.QUEUED
+        assert harness.phases(settled[2])[1] is TaskPhase.NOT_RUN
+        await old.send(harness.start(_JOB, 1, [1, 2], attempt=6))
+        await old.send(harness.start(_OTHER, 1, [0], attempt=6))
+        await trio.sleep(1)
+        assert len(old.refusals()) == 3
+        assert bench.starts_of(_JOB) == [0]
+        assert not bench.starts_of(_OTHER)
+        await old.send(link.Acknowledge(_JOB, (0,)))
+        again = await bench.entry(2)
+        await trio.sleep(0.1)
+        assert set(again.outcomes()) == {(_JOB, 0)}
+
+
 async def test_second_takeover_sees_the_first_owner(autojump_clock):
     """Guards against a start hidden by an owner that ended in a takeover."""
     async with harness.running_guard() as bench:
--- a/tests/guard/test_starts.py
+++ b/tests/guard/test_starts.py
@@ -200,6 +200,25 @@
         harness.check_not_run(bench, harness.refusal_claims(entry))
 
 
+@pytest.mark.parametrize('taken_back', [True, False])
+async def test_start_is_checked_after_connecting(autojump_clock, taken_back):
+    """Guards against a start on a permission from before a wait."""
+    async with harness.running_guard() as bench:
+        entry = await bench.entry(1)
+        bench.network.connect_s = 0.5
+        await entry.send(harness.start(_JOB, 1, range(8)))
+        await trio.sleep(0.1)
+        # One start used the idle connection that the status left.
+        assert len(bench.starts_of(_JOB)) == 1
+        if taken_back:
+            await entry.send(link.Withdraw(_JOB, 1, tuple(range(8)), 1))
+        else:
+            bench.control.cut = True
+            bench.clock.offset_ms += 6000
+        await trio.sleep(2)
+        assert len(bench.starts_of(_JOB)) == 1
+
+
 async def test_leaving_guard_finishes_accepted_work(autojump_clock):
     """Guards against a shutdown that interrupts or loses a request."""
     async with harness.running_guard() as bench:
