Keep command ids beside the plan file

Cause: in a trial against real control replicas, an apply that was refused before its approval stayed refused after it: the id was derived from the plan, and control answers a known id with its first outcome.

Change: the id is random and kept beside the plan file until a refusal is known, so only a command whose answer was lost is repeated under its id. Answers of entries that are no JSON are shown by their status alone.

--- a/src/borageward/cli/changes.py
+++ b/src/borageward/cli/changes.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import pathlib
+import secrets
 
 import attrs
 
+from borageward.cli.commandid import CommandId
 from borageward.cli.controlcalls import ControlCalls, open_control
-from borageward.cli.exits import ExitCode, Report
+from borageward.cli.exits import ExitCode, Report, exit_code
 from borageward.cli.output import show_progress
-from borageward.cli.planfile import command_id, read_plan, write_plan
+from borageward.cli.planfile import read_plan, write_plan
 from borageward.cli.target import Target
 from borageward.clock import Milliseconds
 from borageward.configuration import initial_configuration
@@ -27,6 +29,7 @@
 
 _POLL_MS: Milliseconds = 250
 _WAIT_MS: Milliseconds = 30_000
+_ID_BYTES = 16
 
 
 @attrs.frozen(slots=True)
@@ -67,16 +70,21 @@
     plan = read_plan(pathlib.Path(path))
     if isinstance(plan, Failure):
         return plan
+    command = CommandId(pathlib.Path(path), 'approve')
+    command_id = command.claim()
+    if isinstance(command_id, Failure):
+        return command_id
     request = Approve(
-        command_id('approve', target.operator, plan),
+        command_id,
         plan.digest,
         plan.base_revision,
         target.operator,
     )
     async with open_control(target) as control:
         reply = await control.call(request, Done)
+    command.settle(reply)
     if isinstance(reply, Failure):
-        return reply
+        return _explained(reply)
     digest = plan.digest.hex()
     return Report(f'{plan.text}approved: {digest}')
 
@@ -90,8 +98,17 @@
     plan = read_plan(pathlib.Path(path))
     if isinstance(plan, Failure):
         return plan
+    command = CommandId(pathlib.Path(path), 'apply')
+    command_id = command.claim()
+    if isinstance(command_id, Failure):
+        return command_id
+    request = _request(command_id, target.operator, plan, application.reason)
     async with open_control(target) as control:
-        return await _apply(control, target.operator, plan, application)
+        reply = await control.call(request, Applied)
+        command.settle(reply)
+        if isinstance(reply, Failure):
+            return _explained(reply)
+        return await _accepted(control, reply.revision, application)
 
 
 async def apply_change(
@@ -105,7 +122,17 @@
         if isinstance(plan, Failure):
             return plan
         show_progress(plan.text)
-        return await _apply(control, target.operator, plan, application)
+        command_id = secrets.token_bytes(_ID_BYTES)
+        request = _request(
+            command_id,
+            target.operator,
+            plan,
+            application.reason,
+        )
+        reply = await control.call(request, Applied)
+        if isinstance(reply, Failure):
+            return _explained(reply)
+        return await _accepted(control, reply.revision, application)
 
 
 async def _undo(
@@ -152,31 +179,35 @@
     return Report(f'{plan.text}digest: {digest}')
 
 
-async def _apply(
-    control: ControlCalls,
+def _request(
+    command_id: bytes,
     operator: str,
     plan: Plan,
-    application: Application,
-) -> Report | Failure:
-    request = ApplyChange(
-        command_id('apply', operator, plan),
+    reason: str,
+) -> ApplyChange:
+    return ApplyChange(
+        command_id,
         plan.base_revision,
         plan.change,
         operator,
-        application.reason,
+        reason,
         plan.digest,
         plan.text,
     )
-    reply = await control.call(request, Applied)
-    if isinstance(reply, Failure):
-        return _explained(reply)
+
+
+async def _accepted(
+    control: ControlCalls,
+    revision: int,
+    application: Application,
+) -> Report | Failure:
     if application.wait:
-        return await _wait(control, reply.revision)
-    return Report(f'accepted as revision {reply.revision}')
+        return await _wait(control, revision)
+    return Report(f'accepted as revision {revision}')
 
 
 def _explained(failure: Failure) -> Failure:
-    if failure.reason not in {FailureReason.TIMEOUT, FailureReason.LINK_BROKEN}:
+    if exit_code(failure) is not ExitCode.UNREACHABLE:
         return failure
     advice = 'it may be accepted; the same command gives its outcome'
     return attrs.evolve(failure, detail=f'{failure.detail}; {advice}')
--- a/src/borageward/cli/entrycalls.py
+++ b/src/borageward/cli/entrycalls.py
@@ -82,9 +82,16 @@
         return Failure(FailureReason.LINK_BROKEN, f'{address}: {error}')
     if reply.is_success:
         return reply.content
-    text = reply.text[:_ERROR_TEXT_LENGTH]
-    detail = f'{address}: status {reply.status_code}: {text}'
-    if reply.status_code == httpx.codes.NOT_FOUND:
+    return _refusal(reply, address)
+
+
+def _refusal(reply: httpx.Response, address: Address) -> Failure:
+    detail = f'{address}: status {reply.status_code}'
+    media_type = reply.headers.get('content-type', '')
+    if media_type.startswith('application/json'):
+        text = reply.text[:_ERROR_TEXT_LENGTH]
+        detail = f'{detail}: {text}'
+    if reply.request.method == 'DELETE':
         return Failure(FailureReason.UNKNOWN_JOB, detail)
     return Failure(FailureReason.INVALID_REQUEST, detail)
 
--- a/src/borageward/cli/planfile.py
+++ b/src/borageward/cli/planfile.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import pathlib
 
 import msgspec
@@ -13,8 +12,6 @@
 from borageward.language.sentences import sentence_of
 from borageward.messages.configuration import ConfigurationChange
 
-_COMMAND_ID_BYTES = 16
-
 
 class _PlanDocument(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """JSON form of a plan."""
@@ -69,11 +66,5 @@
     return parsed
 
 
-def command_id(action: str, operator: str, plan: Plan) -> bytes:
-    """Return the same command id for each try of an action on a plan."""
-    document = b'\0'.join((action.encode(), operator.encode(), plan.digest))
-    return hashlib.blake2b(document, digest_size=_COMMAND_ID_BYTES).digest()
-
-
 def _invalid(detail: str) -> Failure:
     return Failure(FailureReason.INVALID_REQUEST, detail)
--- a/src/borageward/cli/reading.py
+++ b/src/borageward/cli/reading.py
@@ -178,7 +178,7 @@
     )
     row = [
         str(change.revision),
-        when.isoformat(timespec='seconds'),
+        when.isoformat(timespec='seconds') if change.wall_ms else '',
         change.author,
         change.approver,
         change.reason,
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -23,6 +23,7 @@
 from borageward.failures import Failure, FailureReason
 from borageward.language import AnswerFormat, parse_sentence
 from borageward.messages import control
+from borageward.messages.base import Rejected
 from borageward.messages.query import EntrySnapshot, JobRow, JobState
 from borageward.transport import Address
 from borageward.transport.grpc import GrpcServer
@@ -42,6 +43,7 @@
         self.configurations = [initial_configuration()]
         self.requests = []
         self.outcomes = {}
+        self.approval_required = False
         self.pending = [('guard worker-01',), ()]
 
     async def serve(self, request):
@@ -58,6 +60,7 @@
         if isinstance(request, control.ReadInForce):
             return control.InForce(request.revision, self.pending.pop(0), 3)
         if isinstance(request, control.Approve):
+            self.approval_required = False
             return control.Done()
         if isinstance(request, control.ReadControl):
             return control.ControlStatus(
@@ -71,6 +74,9 @@
             return known
         if request.base_revision != len(self.configurations) - 1:
             return control.RevisionConflict(1, 'ben', 'storm', 0)
+        if self.approval_required:
+            refusal = Rejected(FailureReason.APPROVAL_REQUIRED)
+            return self.outcomes.setdefault(request.command_id, refusal)
         changed = self.configurations[-1].apply(request.change)
         self.configurations.append(changed)
         outcome = control.Applied(len(self.configurations) - 1)
@@ -119,6 +125,17 @@
     assert len(replica.configurations) == 2
 
 
+async def test_refused_command_can_be_tried_again(replica, tmp_path):
+    """Guards against a refusal that is repeated after the approval."""
+    path = await _plan(replica, _CREATE, tmp_path / 'plan.json')
+    replica.approval_required = True
+    refused = await changes.apply_plan(replica.target, path, _NOW)
+    assert refused.reason is FailureReason.APPROVAL_REQUIRED
+    await changes.approve_plan(replica.target, path)
+    applied = await changes.apply_plan(replica.target, path, _NOW)
+    assert applied.text == 'accepted as revision 1'
+
+
 async def test_second_plan_of_same_revision_conflicts(replica, tmp_path):
     """Guards against two changes of one revision number both accepted."""
     first = await _plan(replica, _CREATE, tmp_path / 'first.json')
