Exclude drained workers in every policy and undo single values

Cause: nothing kept work from a drained worker, and undo described a changed quota as the creation of the service.

Change: Configuration.policy_for returns policies that exclude drained workers, so every caller of Policy.allows honours them. Undo compares quota, weight and deadline one by one.

--- a/src/borageward/configuration/aggregate.py
+++ b/src/borageward/configuration/aggregate.py
@@ -28,6 +28,19 @@
     drained_workers: tuple[str, ...] = ()
 
     def policy_for(self, service: str, kind: str) -> Policy | None:
+        """Return the policy in force for a kind, or nothing to allow all.
+
+        It excludes the drained workers.
+        """
+        policy = self.stated_policy(service, kind)
+        if not self.drained_workers:
+            return policy
+        return attrs.evolve(
+            policy or Policy(service, kind),
+            excluded_workers=self.drained_workers,
+        )
+
+    def stated_policy(self, service: str, kind: str) -> Policy | None:
         """Return the policy of a kind, or that of all kinds, or nothing."""
         fallback = None
         for policy in self.policies:
--- a/src/borageward/configuration/policy.py
+++ b/src/borageward/configuration/policy.py
@@ -23,15 +23,22 @@
 
 @attrs.frozen(slots=True)
 class Policy:
-    """Where work of a service and kind may run; empty lists allow all."""
+    """Where work of a service and kind may run; empty lists allow all.
+
+    ``excluded_workers`` are never allowed; they are set in the policies that
+    ``Configuration.policy_for`` returns, not in those that operators state.
+    """
 
     service: str
     kind: str
     places: tuple[str, ...] = ()
     workers: tuple[str, ...] = ()
+    excluded_workers: tuple[str, ...] = ()
 
     def allows(self, worker: str, place: str) -> bool:
         """Tell whether a worker in a place may take the work."""
+        if worker in self.excluded_workers:
+            return False
         place_allowed = not self.places or place in self.places
         worker_allowed = not self.workers or worker in self.workers
         return place_allowed and worker_allowed
--- a/src/borageward/language/capacity.py
+++ b/src/borageward/language/capacity.py
@@ -67,6 +67,5 @@
         guard
         for guard in guards
         if guard.service == service
-        and guard.worker not in configuration.drained_workers
         and (policy is None or policy.allows(guard.worker, guard.place))
     )
--- a/src/borageward/language/undo.py
+++ b/src/borageward/language/undo.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from borageward.configuration import Configuration, Limits
+from borageward.configuration import Configuration, Limits, Service
 from borageward.failures import Failure, FailureReason
 from borageward.messages import configuration as changes
 
@@ -34,16 +34,17 @@
 
 
 def subject_of(change: changes.SingleChange) -> str:
-    """Return the name of what a change is about."""
+    """Return the name of the value that a change sets."""
     if isinstance(change, changes.SetPolicy | changes.RemovePolicy):
         return f'policy for {change.kind} of {change.service}'
     if isinstance(change, changes.SetDrained):
         return f'worker {change.worker}'
     if isinstance(change, changes.SetApproval):
         return 'approval'
-    if isinstance(change, changes.SetLimit):
-        return f'limit {change.name}'
-    return f'service {change.name}'
+    if isinstance(change, changes.SetService | changes.RemoveService):
+        return f'service {change.name}'
+    value = type(change).__name__.removeprefix('Set').lower()
+    return f'{value} {change.name}'
 
 
 def changes_between(
@@ -71,14 +72,29 @@
 ) -> Iterator[changes.SingleChange]:
     for name in sorted(source.services.keys() - target.services.keys()):
         yield changes.RemoveService(name)
-    for name, service in sorted(target.services.items()):
-        if source.services.get(name) != service:
-            yield changes.SetService(
-                name,
-                service.quota_slots,
-                service.weight,
-                service.deadline_ms,
-            )
+    for added in sorted(target.services.keys() - source.services.keys()):
+        service = target.services[added]
+        yield changes.SetService(
+            added,
+            service.quota_slots,
+            service.weight,
+            service.deadline_ms,
+        )
+    for kept in sorted(source.services.keys() & target.services.keys()):
+        yield from _value_changes(source.services[kept], target.services[kept])
+
+
+def _value_changes(
+    source: Service,
+    target: Service,
+) -> Iterator[changes.SingleChange]:
+    name = target.name
+    if source.quota_slots != target.quota_slots:
+        yield changes.SetQuota(name, target.quota_slots)
+    if source.weight != target.weight:
+        yield changes.SetWeight(name, target.weight)
+    if source.deadline_ms != target.deadline_ms:
+        yield changes.SetDeadline(name, target.deadline_ms)
 
 
 def _policy_changes(
--- a/tests/configuration/test_aggregate.py
+++ b/tests/configuration/test_aggregate.py
@@ -33,3 +33,38 @@
     )
     document = encode_configuration(configuration)
     assert decode_configuration(document) == configuration
+
+
+def test_drained_worker_is_excluded_from_every_policy():
+    """Guards against work placed on a drained worker."""
+    configuration = initial_configuration().apply(
+        changes.Batch(
+            (
+                changes.SetService('dispatch', 40, 1.0, 5000),
+                changes.SetPolicy('dispatch', 'reorder', (), ('w-1', 'w-2')),
+                changes.SetDrained('w-1', drained=True),
+            )
+        ),
+    )
+    for kind in ('reorder', 'check'):
+        policy = configuration.policy_for('dispatch', kind)
+        assert not policy.allows('w-1', 'kingston')
+        assert policy.allows('w-2', 'kingston')
+    restored = configuration.apply(changes.SetDrained('w-1', drained=False))
+    assert restored.policy_for('dispatch', 'check') is None
+
+
+def test_service_values_are_checked():
+    """Guards against a quota or deadline that no process can honour."""
+    configuration = initial_configuration().apply(
+        changes.SetService('dispatch', 40, 1.0, 5000),
+    )
+    for change in (
+        changes.SetQuota('dispatch', -1),
+        changes.SetWeight('dispatch', -0.5),
+        changes.SetDeadline('dispatch', 0),
+        changes.SetQuota('forecast', 1),
+    ):
+        outcome = configuration.apply(change)
+        assert isinstance(outcome, Failure)
+        assert outcome.reason is FailureReason.INVALID_CHANGE
--- a/tests/language/test_plan.py
+++ b/tests/language/test_plan.py
@@ -113,7 +113,7 @@
 @pytest.mark.parametrize(
     'sentence',
     [
-        'set quota of dispatch to 8 slots',
+        'set quota of dispatch to 8 slots and set weight of dispatch to 3',
         'allow reorder of dispatch in nadi-depot and drain worker worker-01',
         'remove service dispatch',
         'require approval and set limit guard_queue_tasks to 2',
@@ -131,7 +131,15 @@
 def test_undo_refuses_what_changed_again():
     """Guards against an undo that overwrites a later decision in silence."""
     after = _changed(_BASE, 'set quota of dispatch to 8 slots')
-    current = _changed(after, 'set weight of dispatch to 2')
+    current = _changed(after, 'set quota of dispatch to 9 slots')
     outcome = undo_change(_BASE, after, current)
     assert isinstance(outcome, Failure)
-    assert 'service dispatch' in outcome.detail
+    assert 'quota dispatch' in outcome.detail
+
+
+def test_undo_keeps_other_values_of_the_service():
+    """Guards against an undo that resets a value it did not change."""
+    after = _changed(_BASE, 'set quota of dispatch to 8 slots')
+    current = _changed(after, 'set weight of dispatch to 2')
+    undone = current.apply(undo_change(_BASE, after, current))
+    assert undone == _changed(_BASE, 'set weight of dispatch to 2')
