--- a/src/borageward/entry/request.py
+++ b/src/borageward/entry/request.py
@@ -119,7 +119,7 @@
     if body.count(b'[') + body.count(b'{') <= MAX_DEPTH:
         return False
     brackets = _STRINGS.sub(b'', body).translate(_TO_ROUND, _NO_BRACKETS)
-    for _level in range(MAX_DEPTH):
+    for _ in range(MAX_DEPTH):
         brackets = brackets.replace(b'()', b'')
         if not brackets:
             return False
--- a/tests/control/fakes.py
+++ b/tests/control/fakes.py
@@ -139,8 +139,8 @@
         self.random = random.Random(seed)
         self.processes: dict[str, FakeProcess] = {}
         self.blocked: set[tuple[str, str]] = set()
-        self.loss = 0.0
-        self.duplicates = 0.0
+        self.loss: float = 0
+        self.duplicates: float = 0
         self.delay_ms = (0.2, 1.5)
 
     def isolate(self, name, *, inbound=True, outbound=True):
@@ -153,8 +153,8 @@
 
     def heal(self):
         self.blocked.clear()
-        self.loss = 0.0
-        self.duplicates = 0.0
+        self.loss: float = 0
+        self.duplicates: float = 0
 
     async def travel(self, sender, receiver):
         """Take the time of one way; a lost message never arrives."""
--- a/tests/control/workload.py
+++ b/tests/control/workload.py
@@ -124,13 +124,13 @@
                 scope.cancel()
             if isinstance(reply, messages.HeartbeatReply):
                 self.acknowledged.read_revision(reply.revision, before)
-            pause_ms = 300 if self._random.random() < 0.95 else 4000
+            pause_ms = 300 if self._random.randrange(20) else 4000
             await trio.sleep(pause_ms / 1000)
 
     async def _claim(self, client, incarnation, scope):
         while True:
             job_ids = tuple(self._random.sample(self._jobs[:200], 3))
-            if self._random.random() < 0.5:
+            if self._random.randrange(2):
                 self._jobs.append(self._jobs.pop(0))
             requests = tuple(claim_request(job_id) for job_id in job_ids)
             claim = messages.Claim(incarnation, requests)
