Fence former owners by name and close control last

Cause: a takeover fenced every entry that had ended since the claim, and remembered unanswered takeovers itself; control now names the former owners of a claim. A newer incarnation of an entry settled jobs under its own number, which moved them at the guards away from an entry that had taken them over. On shutdown the membership watch called a closed channel, which raised (seen once in test_service_on_sockets).

--- a/src/borageward/entry/core.py
+++ b/src/borageward/entry/core.py
@@ -122,9 +122,12 @@
         with trio.move_on_after(_RECORD_PATIENCE_S):
             await self._recorder.wait_idle()
 
-    async def close(self) -> None:
-        """End the incarnation and close the links."""
+    async def leave(self) -> None:
+        """End the incarnation, after the last answer."""
         await self._session.close()
+
+    async def close(self) -> None:
+        """Close the links, once nothing runs in the nursery any more."""
         await self._peers.close()
         await self._control.close()
         self._log.event('entry_closed')
--- a/src/borageward/entry/directory.py
+++ b/src/borageward/entry/directory.py
@@ -61,10 +61,6 @@
         """Return an entry incarnation that the membership has told."""
         return self._entries.get(incarnation)
 
-    def entries(self) -> tuple[EntryMember, ...]:
-        """Return the entry incarnations that control keeps."""
-        return tuple(self._entries.values())
-
     async def wait_entry_ended(self, incarnation: int) -> None:
         """Wait until the membership tells the end of an entry."""
         while True:
--- a/src/borageward/entry/fencing.py
+++ b/src/borageward/entry/fencing.py
@@ -15,11 +15,9 @@
 from borageward.identity import JobId
 from borageward.messages.control import (
     ClaimAnswer,
-    EntryMember,
     GuardMember,
     GuardsSince,
     Membership,
-    Watch,
 )
 from borageward.messages.guard import Fence, Fenced
 
@@ -82,14 +80,15 @@
         self._directory = directory
         self._gate = gate
         self._lock = trio.Lock()
-        self._memberships: OrderedDict[int, _Since] = OrderedDict()
+        self._known: OrderedDict[tuple[int, ...], _Since] = OrderedDict()
         self._confirmed: OrderedDict[tuple[int, int], Confirmation]
         self._confirmed = OrderedDict()
 
     async def survey(self, claim: ClaimAnswer) -> Survey | Failure:
         """Fence the owners of a claim that have ended, at every guard."""
+        owners = self._ended_owners(claim)
         async with self._lock:
-            since = await self._members(claim)
+            since = await self._guards_since(claim.claimed_at, owners)
         if isinstance(since, Failure):
             return since
         survey = Survey(
@@ -98,11 +97,7 @@
                 for guard in since.guards
                 if _lived_since(guard.ended_at, claim.claimed_at)
             ),
-            tuple(
-                entry.incarnation
-                for entry in since.entries
-                if entry.ended_at >= claim.claimed_at and entry.ended_at
-            ),
+            owners,
         )
         async with trio.open_nursery() as nursery:
             for guard in survey.guards:
@@ -110,32 +105,35 @@
                     nursery.start_soon(self._ask, survey, guard, owner)
         return survey
 
-    async def _members(self, claim: ClaimAnswer) -> _Since | Failure:
-        """Read the members once for each ended owner.
+    def _ended_owners(self, claim: ClaimAnswer) -> tuple[int, ...]:
+        owners = {claim.owner, *claim.former_owners}
+        return tuple(sorted(owners - {self._gate.incarnation}))
 
-        A guard that registers after the owner's end is told of it before its
+    async def _guards_since(
+        self,
+        position: int,
+        owners: tuple[int, ...],
+    ) -> _Since | Failure:
+        """Read the guards once for the same ended owners.
+
+        A guard that registers after an owner's end is told of it before its
         first start, so it need not be asked.
         """
-        known = self._memberships.get(claim.owner)
-        if known is not None and known.position <= claim.claimed_at:
+        known = self._known.get(owners)
+        if known is not None and known.position <= position:
             return known
-        guards = await self._control.call(
-            GuardsSince(claim.claimed_at),
+        reply = await self._control.call(
+            GuardsSince(position),
             _CALL_TIMEOUT_MS,
         )
-        entries = await self._control.call(Watch(0, 0), _CALL_TIMEOUT_MS)
-        if isinstance(guards, Failure):
-            return guards
-        if isinstance(entries, Failure):
-            return entries
-        if not isinstance(guards, Membership):
-            return Failure(FailureReason.MALFORMED_MESSAGE)
-        if not isinstance(entries, Membership):
+        if isinstance(reply, Failure):
+            return reply
+        if not isinstance(reply, Membership):
             return Failure(FailureReason.MALFORMED_MESSAGE)
-        since = _Since(claim.claimed_at, guards.guards, entries.entries)
-        self._memberships[claim.owner] = since
-        while len(self._memberships) > _MAX_SURVEYS:
-            self._memberships.popitem(last=False)
+        since = _Since(position, reply.guards)
+        self._known[owners] = since
+        while len(self._known) > _MAX_SURVEYS:
+            self._known.popitem(last=False)
         return since
 
     async def _ask(
@@ -178,11 +176,10 @@
 
 @attrs.frozen(slots=True)
 class _Since:
-    """Members that lived at or after a position."""
+    """Guards that lived at or after a position."""
 
     position: int
     guards: tuple[GuardMember, ...]
-    entries: tuple[EntryMember, ...]
 
 
 def _seen_of(
--- a/src/borageward/entry/jobrun.py
+++ b/src/borageward/entry/jobrun.py
@@ -121,9 +121,9 @@
         if claim.owner == context.gate.incarnation:
             if claim.outcome is not None:
                 return self._recorded(claim.outcome)
-            earlier = context.takeover.interrupted(self._job.job_id)
-            if earlier is not None:
-                return await self._settle(earlier)
+            if claim.former_owners:
+                # The answer of an earlier takeover was lost.
+                return await self._settle(claim)
             self._job.claimed(claim.owner)
             context.dispatcher.enqueue(self._job, self._job.tasks)
             return await self._finish()
@@ -151,7 +151,6 @@
         job = self._job
         if claim.outcome is not None:
             return await self._recover_answer(claim)
-        self._context.takeover.begin(claim)
         taken = await self._context.calls.take_over(job.job_id)
         if isinstance(taken, Failure):
             return None
@@ -159,7 +158,7 @@
             return None
         if taken.outcome is not None:
             return await self._recover_answer(claim)
-        return await self._settle(claim)
+        return await self._settle(taken)
 
     async def _settle(self, claim: ClaimAnswer) -> Answer:
         """Settle a job that earlier owners may have started."""
--- a/src/borageward/entry/service.py
+++ b/src/borageward/entry/service.py
@@ -117,9 +117,11 @@
         await self._application.drain()
         await self._http.close()
         await self._links.close()
-        await self._core.close()
+        await self._core.leave()
+        # A call on a closed channel raises, so its callers end first.
         self._scope.cancel()
         await self._stopped.wait()
+        await self._core.close()
 
     async def _run(self, task_status: trio.TaskStatus[None]) -> None:
         try:  # noqa: WPS501 close waits for the end on every path
--- a/src/borageward/entry/settlement.py
+++ b/src/borageward/entry/settlement.py
@@ -263,9 +263,11 @@
         indexes: list[int],
     ) -> Settle:
         job, starter, attempt = group
+        # A newer incarnation of this entry does not own the job, and must not
+        # move it away from an entry that has taken it over.
         return Settle(
             job.job_id,
-            self._gate.incarnation,
+            job.owner,
             starter,
             tuple(indexes),
             attempt,
--- a/src/borageward/entry/takeover.py
+++ b/src/borageward/entry/takeover.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
-
 import attrs
 import trio
 
@@ -15,14 +13,12 @@
 from borageward.entry.job import ATTEMPTS_PER_OWNER, Job, JobTask
 from borageward.entry.startgate import StartGate
 from borageward.failures import Failure, FailureReason, RunState
-from borageward.identity import JobId
 from borageward.messages.control import ClaimAnswer
 from borageward.messages.guard import Settle, Settled
 from borageward.messages.task import TaskPhase, TaskReport
 
 # An owner's end takes 1,500 ms to notice, and the outcome is due in 3,000 ms.
 _SETTLE_TIMEOUT_MS = 700.0
-_MAX_INTERRUPTED = 20_000
 _MS_PER_SECOND = 1000.0
 
 
@@ -60,21 +56,6 @@
         self._fencing = fencing
         self._dispatcher = dispatcher
         self._clock = clock
-        self._interrupted: OrderedDict[JobId, ClaimAnswer] = OrderedDict()
-
-    def begin(self, claim: ClaimAnswer) -> None:
-        """Remember a takeover whose answer from control may get lost.
-
-        The claim then names this entry as the owner, though tasks that an
-        earlier owner started are not settled.
-        """
-        self._interrupted[claim.job_id] = claim
-        while len(self._interrupted) > _MAX_INTERRUPTED:
-            self._interrupted.popitem(last=False)
-
-    def interrupted(self, job_id: JobId) -> ClaimAnswer | None:
-        """Return the claim before a takeover that was not settled."""
-        return self._interrupted.get(job_id)
 
     async def recover(
         self,
@@ -91,7 +72,6 @@
         if isinstance(survey, Failure):
             return survey
         findings = await self._ask_guards(job, survey)
-        self._interrupted.pop(job.job_id, None)
         waiting = [
             task
             for task in job.unresolved()
--- a/src/borageward/messages/control.py
+++ b/src/borageward/messages/control.py
@@ -48,6 +48,8 @@
     TOO_OLD = 'too_old'
     IN_FUTURE = 'in_future'
     OWNER_ENDED = 'owner_ended'
+    # No claim is known; the answer of ``TakeOver`` and ``FindClaims``.
+    UNKNOWN = 'unknown'
 
 
 class ClaimAnswer(msgspec.Struct, frozen=True, array_like=True):
@@ -56,7 +58,8 @@
     ``owner`` is the entry incarnation that holds the claim and
     ``owner_address`` where it answers other entries. ``claimed_at`` is the
     log position of the claim. ``outcome`` is set once the job's outcome is
-    recorded.
+    recorded. ``former_owners`` are the ended incarnations that held the claim
+    before ``owner``; a takeover has to fence them as well.
     """
 
     job_id: bytes
@@ -67,6 +70,7 @@
     claimed_at: int = 0
     task_count: int = 0
     outcome: OutcomeKind | None = None
+    former_owners: tuple[int, ...] = ()
 
 
 class Claimed(Message, frozen=True):
--- a/tests/entry/fake_control.py
+++ b/tests/entry/fake_control.py
@@ -161,6 +161,7 @@
                 'at': self.state.step(),
                 'count': item.task_count,
                 'outcome': None,
+                'former': (),
             }
             return self._answer(item.job_id, ctl.ClaimState.CLAIMED)
         if claims[item.job_id]['digest'] != item.digest:
@@ -182,6 +183,7 @@
             claim['at'],
             claim['count'],
             claim['outcome'],
+            claim['former'],
         )
 
     async def _TakeOver(self, request):
@@ -190,6 +192,7 @@
         for job_id in request.job_ids:
             claim = self.state.claims[job_id]
             if not self.state.is_live(claim['owner']):
+                claim['former'] += (claim['owner'],)
                 claim['owner'] = request.incarnation
         return ctl.Claimed(tuple(map(self._answer, request.job_ids)))
 
--- a/tests/entry/test_entry_endings.py
+++ b/tests/entry/test_entry_endings.py
@@ -59,7 +59,7 @@
             await trio.sleep(0.05)
             ready = await cluster.request(0, 'GET', '/readyz')
             refused = await cluster.submit(0, JobText(1))
-        await core.close()
+        await core.leave()
         outcomes = [claim['outcome'] for claim in cluster.state.claims.values()]
     assert ready.status == 503
     assert refused.document['reason'] == 'shutting_down'
