--- a/src/borageward/entry/request.py
+++ b/src/borageward/entry/request.py
@@ -119,11 +119,11 @@
     if body.count(b'[') + body.count(b'{') <= MAX_DEPTH:
         return False
     brackets = _STRINGS.sub(b'', body).translate(_TO_ROUND, _NO_BRACKETS)
-    for _ in range(MAX_DEPTH):
+    levels = 0
+    while brackets and levels < MAX_DEPTH:
         brackets = brackets.replace(b'()', b'')
-        if not brackets:
-            return False
-    return True
+        levels += 1
+    return bool(brackets)
 
 
 def _invalid(detail: str) -> Failure:
