Make the policy lookup with drained workers cheaper

Cause: policy_for is called for each task and took 6.0 us with a drained worker.

Change: the policy is built without attrs.evolve; the picture of a timeline leaves room for the names at its edges.

--- a/src/borageward/configuration/aggregate.py
+++ b/src/borageward/configuration/aggregate.py
@@ -35,9 +35,15 @@
         policy = self.stated_policy(service, kind)
         if not self.drained_workers:
             return policy
-        return attrs.evolve(
-            policy or Policy(service, kind),
-            excluded_workers=self.drained_workers,
+        if policy is None:
+            return Policy(service, kind, (), (), self.drained_workers)
+        # Called for each task; attrs.evolve takes several microseconds.
+        return Policy(
+            policy.service,
+            policy.kind,
+            policy.places,
+            policy.workers,
+            self.drained_workers,
         )
 
     def stated_policy(self, service: str, kind: str) -> Policy | None:
--- a/src/borageward/timeline/picture.py
+++ b/src/borageward/timeline/picture.py
@@ -12,6 +12,8 @@
 _WIDTH_INCHES = 10
 _ROW_INCHES = 0.5
 _ROTATION = 30
+# Room for the rotated names of the last and the topmost events.
+_MARGIN = 0.2
 _MS_PER_SECOND = 1000
 
 
@@ -41,6 +43,7 @@
         axes.annotate(
             event.name, (time_ms, level), rotation=_ROTATION, fontsize=6
         )
+    axes.margins(_MARGIN)
     axes.set_yticks(range(len(processes)), processes)
     axes.set_xlabel('ms since the first event')
     try:
