Read damaged log lines and odd names without failing

Cause: a damaged stamp or an event name with formula signs raised an exception in the timeline.

Change: stamps are at most 17 digits, and names are drawn as they are.

--- a/src/borageward/timeline/event.py
+++ b/src/borageward/timeline/event.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pathlib
+import re
 from collections.abc import Iterable, Mapping
 
 import attrs
@@ -11,6 +12,8 @@
 from borageward.telemetry import parse_line
 
 _US_PER_SECOND = 1_000_000
+# 17 digits of microseconds reach the year 5138; a longer stamp is damaged.
+_STAMP = re.compile(r'[0-9]{1,17}')
 
 
 @attrs.frozen(slots=True, eq=False)
@@ -69,9 +72,9 @@
     fields = parse_line(line)
     if fields is None or 'event' not in fields:
         return None
-    try:
-        stamp_s = int(fields.pop('t', '')) / _US_PER_SECOND
-    except ValueError:
+    stamp = fields.pop('t', '')
+    if not _STAMP.fullmatch(stamp):
         return None
+    stamp_s = int(stamp) / _US_PER_SECOND
     name = fields.pop('event')
     return Event(stamp_s, fields.pop('process', '?'), name, fields)
--- a/src/borageward/timeline/picture.py
+++ b/src/borageward/timeline/picture.py
@@ -41,10 +41,14 @@
     axes.scatter(times, levels, zorder=2)
     for time_ms, level, event in zip(times, levels, events, strict=True):
         axes.annotate(
-            event.name, (time_ms, level), rotation=_ROTATION, fontsize=6
+            event.name,
+            (time_ms, level),
+            rotation=_ROTATION,
+            fontsize=6,
+            parse_math=False,
         )
     axes.margins(_MARGIN)
-    axes.set_yticks(range(len(processes)), processes)
+    axes.set_yticks(range(len(processes)), processes, parse_math=False)
     axes.set_xlabel('ms since the first event')
     try:
         figure.savefig(path)
--- a/tests/timeline/test_order.py
+++ b/tests/timeline/test_order.py
@@ -101,6 +101,24 @@
     assert message in capsys.readouterr().err
 
 
+@pytest.mark.parametrize('stamp', ['9' * 30, '-1', '1e3', '9' * 5000, ''])
+def test_damaged_stamp_is_skipped(tmp_path, stamp):
+    """Guards against a damaged line that stops the whole timeline."""
+    path = tmp_path / 'entry.log'
+    path.write_text(f't={stamp} event=x process=p\nt=1 event=y process=p\n')
+    logs = read_events((path,))
+    assert [event.name for event in logs.events] == ['y']
+    assert logs.skipped == 1
+
+
+def test_picture_shows_names_as_they_are(tmp_path):
+    """Guards against names that the drawing library reads as formulas."""
+    path = tmp_path / 'entry.log'
+    path.write_text(_line(r'$\p$', 1, r'$\forged{$'))
+    words = ['timeline', str(path), '--picture', str(tmp_path / 'x.svg')]
+    assert main(words) == ExitCode.DONE
+
+
 def test_picture_is_drawn(tmp_path):
     """Guards against a picture that cannot be drawn or has a wrong form."""
     paths = [str(path) for path in _write_logs(tmp_path, 0)]
