--- a/src/borageward/timeline/picture.py
+++ b/src/borageward/timeline/picture.py
@@ -12,6 +12,8 @@
 _WIDTH_INCHES = 10
 _ROW_INCHES = 0.5
 _ROTATION = 30
+# Room for the rotated names of the last and the topmost events.
+_MARGIN = 0.2
 _MS_PER_SECOND = 1000
 
 
@@ -39,9 +41,14 @@
     axes.scatter(times, levels, zorder=2)
     for time_ms, level, event in zip(times, levels, events, strict=True):
         axes.annotate(
-            event.name, (time_ms, level), rotation=_ROTATION, fontsize=6
+            event.name,
+            (time_ms, level),
+            rotation=_ROTATION,
+            fontsize=6,
+            parse_math=False,
         )
-    axes.set_yticks(range(len(processes)), processes)
+    axes.margins(_MARGIN)
+    axes.set_yticks(range(len(processes)), processes, parse_math=False)
     axes.set_xlabel('ms since the first event')
     try:
         figure.savefig(path)
