Record outcomes after the answer has left and bound held bodies

Cause: the call that records an outcome competed with the answer; callers that wait for a known job held bodies without a bound; an index out of range in a refusal would have ended the entry; quotas did not follow the number of live entries.

Change: outcomes wait 10 ms to be recorded together, the body budget covers requests until they are answered, indexes are checked, and the policy is configured again when the number of live entries changes.

--- a/src/borageward/entry/body.py
+++ b/src/borageward/entry/body.py
@@ -10,8 +10,8 @@
 
 from borageward.failures import Failure, FailureReason
 
-# Bodies that are being read, of all connections together.
-MAX_READING_BYTES = 67_108_864
+# Bodies of all requests in progress together.
+MAX_HELD_BYTES = 268_435_456
 # A slow caller may hold memory no longer than this.
 BODY_TIMEOUT_S = 10.0
 
@@ -66,7 +66,7 @@
             size += len(chunk)
             if size > limit:
                 return _too_large(limit)
-            if self._held + len(chunk) > MAX_READING_BYTES:
+            if self._held + len(chunk) > MAX_HELD_BYTES:
                 return Failure(FailureReason.OVERLOADED, 'too many bodies')
             self._held += len(chunk)
             chunks.append(chunk)
--- a/src/borageward/entry/controlcalls.py
+++ b/src/borageward/entry/controlcalls.py
@@ -26,6 +26,8 @@
 # Longer than an election, so that a claim survives the loss of the leader.
 CLAIM_TIMEOUT_MS = 4000.0
 FINISH_TIMEOUT_MS = 4000.0
+# An outcome is recorded after its answer has left, with others.
+FINISH_WAIT_MS = 10.0
 FIND_TIMEOUT_MS = 2000.0
 
 
@@ -70,6 +72,7 @@
                 lambda items: Finish(incarnation(), items),
                 _finish_answers,
                 FINISH_TIMEOUT_MS,
+                FINISH_WAIT_MS,
             ),
         )
 
--- a/src/borageward/entry/core.py
+++ b/src/borageward/entry/core.py
@@ -31,6 +31,7 @@
 _NONCE_BYTES = 16
 _HEARTBEAT_TIMEOUT_MS = 1000.0
 _RECORD_PATIENCE_S = 3.0
+_ENTRIES_POLL_S = 0.5
 
 
 class EntryCore:
@@ -112,6 +113,7 @@
         await self._recorder.start(nursery)
         await self._desk.start(nursery)
         nursery.start_soon(self._dispatcher.run)
+        nursery.start_soon(self._follow_entries)
         await self._directory.start(nursery)
         await self._session.start(nursery)
 
@@ -153,6 +155,16 @@
         self._policy.configure(configuration, self._session.live_entries)
         self._dispatcher.wake()
 
+    async def _follow_entries(self) -> None:
+        """Split the quotas anew when the number of live entries changes."""
+        known = self._session.live_entries
+        while True:
+            await trio.sleep(_ENTRIES_POLL_S)
+            if self._session.live_entries != known:
+                known = self._session.live_entries
+                self._policy.configure(self._session.configuration, known)
+                self._dispatcher.wake()
+
     def _new_session(self, clock: Clock) -> MembershipSession:
         return MembershipSession(
             self._control,  # type: ignore[arg-type]
--- a/src/borageward/entry/http.py
+++ b/src/borageward/entry/http.py
@@ -114,9 +114,10 @@
             if isinstance(body, Failure):
                 return refused_answer(None, body)
             request = decode_request(body, MAX_DEADLINE_MS)
-        if isinstance(request, Failure):
-            return refused_answer(None, request)
-        return await self._desk.submit(request)
+            if isinstance(request, Failure):
+                return refused_answer(None, request)
+            # A caller that waits for a known job holds its body too.
+            return await self._desk.submit(request)
 
     async def _one_job(self, method: str, text: str) -> Answer:
         job_id = parse_job_id(text)
--- a/src/borageward/entry/settlement.py
+++ b/src/borageward/entry/settlement.py
@@ -197,6 +197,8 @@
         if job is None:
             return
         for index in message.indexes:
+            if not 0 <= index < len(job.tasks):
+                continue
             task = job.tasks[index]
             # A duplicate may refer to an earlier attempt at this guard.
             if _is_at(task, link) and task.attempt <= message.attempt:
