--- a/src/borageward/policy/announcing.py
+++ b/src/borageward/policy/announcing.py
@@ -87,6 +87,9 @@
 class SilentAnnouncer(Generic[Link]):
     """Baseline: loads travel on answers only."""
 
+    def __init__(self, limits: Limits | None = None) -> None:
+        """Need no limits."""
+
     def configure(self, limits: Limits) -> None:
         """Use no limit."""
 
