--- a/src/borageward/policy/capacity.py
+++ b/src/borageward/policy/capacity.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from borageward.clock import Milliseconds
 from borageward.configuration import Limits
@@ -11,6 +11,7 @@
 from borageward.policy.admission import AdmissionScene
 from borageward.policy.dispatch import JobNeed, WaitingTask
 from borageward.policy.drain_rate import DrainRate
+from borageward.policy.guard_view import GuardView
 from borageward.policy.job_queue import JobQueue
 from borageward.policy.placement import PlacementScene
 from borageward.policy.run_times import RunTimeModel
@@ -75,9 +76,12 @@
             need.kinds[0],
             limits.long_task_ms,
         )
-        whole = self.rate(now_ms, run_class)
-        slots = sum(view.slots for view in self._workers.active)
-        share = shares.share(need.service, self._queue.services(), slots)
+        views = self._workers.eligible(need.service, need.kinds[0]).values()
+        whole = self.rate(views, now_ms, run_class)
+        share: float = 1
+        if any(view.service != need.service for view in views):
+            slots = sum(view.slots for view in views)
+            share = shares.share(need.service, self._queue.services(), slots)
         return AdmissionScene(
             now_ms=now_ms,
             queued_tasks=self._queue.task_count,
@@ -101,14 +105,19 @@
         waiting = self._queue.waiting(RunClass.SHORT, self._queue.lanes)
         self._drain.update(now_ms, backlog=waiting > 0)
 
-    def rate(self, now_ms: Milliseconds, run_class: RunClass) -> float:
+    def rate(
+        self,
+        views: Collection[GuardView],
+        now_ms: Milliseconds,
+        run_class: RunClass,
+    ) -> float:
         """Return the rate that the entry can count on now for a class.
 
         During a backlog it is the measured rate. Otherwise it is what the
         entry uses already together with the slots that seem free, or what
         other entries usually leave. It is never below the equal part.
         """
-        equal = self._equal_rate(run_class)
+        equal = self._equal_rate(views, run_class)
         if run_class is RunClass.LONG:
             return equal
         measured = self._drain.rate(now_ms)
@@ -117,7 +126,7 @@
         short_ms = self._run_times.short_mean_ms()
         usable: float = 0
         left: float = 0
-        for view in self._workers.active:
+        for view in views:
             free = max(0, -view.excess(now_ms, short_ms))
             running = min(view.in_flight, view.slots)
             usable += view.speed * min(view.slots, free + running)
@@ -140,8 +149,8 @@
             first.kind,
             _TAIL_QUANTILE,
         )
-        views = self._workers.active
-        equal = self._equal_rate(first.run_class) or 1
+        views = self._workers.eligible(first.service, first.kind).values()
+        equal = self._equal_rate(views, first.run_class) or 1
         fastest = max((view.speed for view in views), default=1)
         work_ms = sum(task.expected_ms for task in tasks)
         needed_ms = work_ms / equal + tail_ms
@@ -150,10 +159,14 @@
             first.deadline_ms - typical_ms / fastest,
         )
 
-    def _equal_rate(self, run_class: RunClass) -> float:
+    def _equal_rate(
+        self,
+        views: Collection[GuardView],
+        run_class: RunClass,
+    ) -> float:
         """Return the equal part of the slots that a class can use."""
         whole: float = 0
-        for view in self._workers.active:
+        for view in views:
             slots = view.slots
             if run_class is RunClass.SHORT:
                 slots = max(1, slots - view.long_tasks)
--- a/src/borageward/policy/workers.py
+++ b/src/borageward/policy/workers.py
@@ -25,11 +25,6 @@
         """Return the views by worker."""
         return self._views
 
-    @property
-    def active(self) -> list[GuardView]:
-        """Return the views of workers that are not leaving."""
-        return [view for view in self._views.values() if not view.load.leaving]
-
     def configure(self, configuration: Configuration) -> None:
         """Use new policies."""
         self._configuration = configuration
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -69,6 +69,16 @@
     assert refusal.reason is FailureReason.NO_RUNNER
 
 
+def test_runners_of_another_service_do_not_count():
+    """Guards against admission by capacity that a job cannot use."""
+    policy = learnt_policy(FULL)
+    for number in range(20):
+        policy.add_guard(f'f{number}', '', 'forecast', guard_load())
+    for job in 'abcdefgh':
+        policy.enqueue(waiting_job(job, 20), NOW_MS)
+    assert policy.admit(need(20), NOW_MS) is not None
+
+
 def test_service_below_its_quota_goes_first():
     """Guards against borrowed slots that do not return to their owner."""
     policy = learnt_policy({})
