Add the optional port that moves long work aside

Cause: long work of a short kind can hold every slot of a guard. Change: ClassSlotScheduler moves an overdue task aside through LongWorkPort when short work waits and long work holds more than its share; without a platform nothing changes. The port was not measured under load.

--- a/src/borageward/policy/class_scheduler.py
+++ b/src/borageward/policy/class_scheduler.py
@@ -11,6 +11,7 @@
 from borageward.messages.guard import GuardLoad
 from borageward.messages.task import RunClass
 from borageward.policy.guard_queue import GuardQueue, QueueName
+from borageward.policy.long_work import LongWorkPort, NoLongWorkPort
 from borageward.policy.scheduler import GuardTask
 from borageward.policy.speed import RunnerSpeed
 
@@ -36,6 +37,7 @@
         slots: int,
         limits: Limits | None = None,
         speed: RunnerSpeed | None = None,
+        port: LongWorkPort | None = None,
     ) -> None:
         """Schedule the slots of one runner."""
         self._slots = slots
@@ -44,6 +46,8 @@
         self._queues = {name: GuardQueue() for name in _ORDER}
         self._queue_of: dict[tuple[JobId, int], GuardQueue] = {}
         self._running: dict[tuple[JobId, int], GuardTask] = {}
+        self._port = port or NoLongWorkPort()
+        self._aside: dict[tuple[JobId, int], GuardTask] = {}
         self._now_ms: Milliseconds = 0
 
     @property
@@ -79,15 +83,19 @@
     def take(self, now_ms: Milliseconds) -> GuardTask | None:
         """Return the task to start now and occupy a slot, or nothing."""
         self._now_ms = now_ms
+        if not self.free_slots:
+            self._make_room(now_ms)
         if not self.free_slots:
             return None
-        long_allowed = self._running_long(now_ms) < self._long_slots()
+        long_tasks = self._running_long(now_ms) + len(self._aside)
+        long_allowed = long_tasks < self._long_slots()
         for name in _ORDER:
             if name.run_class is RunClass.LONG and not long_allowed:
                 continue
             task = self._queues[name].take()
             if task is not None:
                 return self._start(task, now_ms)
+        self._bring_back()
         return None
 
     def expired(self, now_ms: Milliseconds) -> list[GuardTask]:
@@ -102,6 +110,7 @@
     def release(self, task: GuardTask, run_ms: Milliseconds) -> None:
         """Free the slot of a task that ran."""
         self._running.pop((task.job_id, task.index), None)
+        self._aside.pop((task.job_id, task.index), None)
         if task.run_class is RunClass.SHORT:
             self._speed.observe(task.expected_ms, run_ms)
 
@@ -137,6 +146,27 @@
         self._running[key] = task
         return task
 
+    def _make_room(self, now_ms: Milliseconds) -> None:
+        """Move one overdue task aside when short work waits behind it."""
+        waiting = any(
+            queue.task_count
+            for name, queue in self._queues.items()
+            if name.run_class is RunClass.SHORT
+        )
+        if not waiting or self._running_long(now_ms) <= self._long_slots():
+            return
+        for key, task in self._running.items():
+            if self._is_long(task, now_ms) and self._port.move_aside(task):
+                self._aside[key] = self._running.pop(key)
+                return
+
+    def _bring_back(self) -> None:
+        """Give the free slots to tasks that were moved aside."""
+        for key in tuple(self._aside)[: self.free_slots]:
+            task = self._aside.pop(key)
+            self._running[key] = task
+            self._port.bring_back(task)
+
     def _long_slots(self) -> int:
         """Return the number of slots that long work may hold; at least 1."""
         kept = math.ceil(self._slots * self._limits.short_slots_share)
--- a/tests/policy/test_class_scheduler.py
+++ b/tests/policy/test_class_scheduler.py
@@ -37,6 +37,33 @@
     assert not _started(scheduler, NOW_MS + 3000)
 
 
+class _Platform:
+    def __init__(self):
+        self.back = []
+
+    def move_aside(self, task):
+        return True
+
+    def bring_back(self, task):
+        self.back.append(task)
+
+
+def test_platform_moves_overdue_work_aside_for_short_work():
+    """Guards against hidden long work that keeps all slots."""
+    platform = _Platform()
+    scheduler = ClassSlotScheduler(SLOTS, port=platform)
+    for index in range(SLOTS):
+        scheduler.offer(guard_task('h', index), NOW_MS)
+    assert len(_started(scheduler)) == SLOTS
+    scheduler.offer(guard_task('s'), NOW_MS + 3000)
+    short = _started(scheduler, NOW_MS + 3000)[0]
+    assert short.job_id == b's'
+    assert not platform.back
+    scheduler.release(short, 100)
+    assert not _started(scheduler, NOW_MS + 3100)
+    assert len(platform.back) == 1
+
+
 def test_jobs_take_turns():
     """Guards against a large job that shuts out a single task."""
     scheduler = ClassSlotScheduler(1)
