Let the lease run out when a newer configuration cannot be read

Cause: a reply with a higher revision and an unreadable document renewed the lease of the old policy and made heartbeats run without pause. Change: such a reply renews nothing.

--- a/src/borageward/membership/session.py
+++ b/src/borageward/membership/session.py
@@ -199,6 +199,10 @@
             return
         newer = reply.revision > self._revision
         self._adopt(reply.revision, reply.configuration)
+        if reply.revision > self._revision:
+            # A document that cannot be read leaves an old policy in use,
+            # whose lease must run out.
+            return
         self._ended_through = reply.ended_through
         self._live_entries = reply.live_entries
         if reply.ended:
