--- a/src/borageward/daemon/main.py
+++ b/src/borageward/daemon/main.py
@@ -37,7 +37,6 @@
     if options.check:
         sys.stdout.write(f'{options.settings}: settings are valid\n')
         return EXIT_OK
-    sys.setswitchinterval(float(__import__('os').environ.get('SWI','0.005')))
     failure = trio.run(run_process, settings)
     if failure is None:
         return EXIT_OK
--- a/src/borageward/language/limits.py
+++ b/src/borageward/language/limits.py
@@ -26,6 +26,10 @@
             'the longest deadline in ms that a job may ask for; longer ones '
             'are refused as invalid_request'
         ),
+        'max_predicted_wait_ms': (
+            'the longest wait in ms behind earlier work; a job that would '
+            'wait longer is refused as overloaded'
+        ),
         'admission_margin': (
             'the share of its deadline that a job must have left after the '
             'predicted wait; otherwise it is refused as overloaded'
@@ -34,6 +38,20 @@
             'the number of retries as a share of first starts; further '
             'retries are refused as retry_budget_spent'
         ),
+        'retry_backoff_ms': (
+            'the first pause in ms before a retry; it doubles with each one'
+        ),
+        'retry_backoff_max_ms': ('the longest pause in ms before a retry'),
+        'max_attempts': (
+            'the number of placements of a task, the first included'
+        ),
+        'placement_queue_tasks': (
+            'the estimated queue of the best worker, in tasks, from which a '
+            'task stays at the entry'
+        ),
+        'place_delay_ms': (
+            'the one-way delay in ms between places that placement assumes'
+        ),
         'guard_queue_tasks': (
             'the number of tasks that wait at one worker; further ones are '
             'placed elsewhere'
@@ -44,6 +62,16 @@
         'long_task_ms': (
             'the run time in ms above which work counts as long work'
         ),
+        'long_slots_share': (
+            'the share of the slots of each worker that long work may hold'
+        ),
+        'announcements_per_start': (
+            'the budget of load announcements, in messages for each start'
+        ),
+        'announced_change_tasks': (
+            'the least change of queued and running tasks that a worker '
+            'announces'
+        ),
         'outlier_window': (
             'the number of recent jobs of a worker that failures are counted in'
         ),
