Tell overlapping settlements of one job apart

Cause: a third owner of a job asks a guard about tasks of two earlier owners; one reply satisfied both requests, so the tasks of the other counted as unseen and started again (test_second_owner_killed, 6 of 24 cases red).

Change: a settlement is matched by job and tasks, and a task that a guard has seen but not reported is never started. Links outside the subset are closed when their fences are forgotten, and fences kept are bounded.

Result: 181 tests pass; the 24 cases of a second owner killed are green. Checkers shown to fail ('a task started twice') after breaking one line: fencing._ended_owners with the last former owner only, jobrun._follow without former_owners, takeover._continue without survey.complete, fencing.survey asking linked guards only. Not detected alone: the two lines of this fix, because each covers the other; without both the cases above were red.

--- a/src/borageward/entry/fencing.py
+++ b/src/borageward/entry/fencing.py
@@ -24,6 +24,8 @@
 _CALL_TIMEOUT_MS = 1000.0
 _FENCE_TIMEOUT_S = 0.7
 _MAX_SURVEYS = 64
+# Two entries that end while there are 1,000 guards.
+_MAX_CONFIRMATIONS = 2000
 
 
 @attrs.frozen(slots=True)
@@ -167,12 +169,19 @@
         with trio.move_on_after(_FENCE_TIMEOUT_S):
             fenced = await link.fence(Fence(self._gate.incarnation, owner))
             confirmation.seen = _seen_of(fenced, guard)
+        confirmation.done.set()
         if confirmation.seen is None:
             # The next resubmission asks this guard again.
-            self._confirmed.pop(key)
-        confirmation.done.set()
+            self._forget(key)
+        while len(self._confirmed) > _MAX_CONFIRMATIONS:
+            self._forget(next(iter(self._confirmed)))
         return confirmation
 
+    def _forget(self, key: tuple[int, int]) -> None:
+        forgotten = self._confirmed.pop(key, None)
+        if forgotten is not None:
+            self._directory.unpin(forgotten.link)
+
 
 @attrs.frozen(slots=True)
 class _Since:
--- a/src/borageward/entry/guardlink.py
+++ b/src/borageward/entry/guardlink.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable
-from typing import Protocol
+from typing import Protocol, TypeAlias
 
 import attrs
 import trio
@@ -31,6 +31,9 @@
     Welcome,
 )
 
+# A fence is answered by its incarnation, a settlement by job and tasks.
+_ReplyKey: TypeAlias = int | tuple[JobId, frozenset[int]]
+
 _BACKOFF_MIN_MS = 20.0
 _BACKOFF_MAX_MS = 500.0
 # An ended guard that sends nothing for this long is given up.
@@ -100,7 +103,7 @@
         self._retired = trio.Event()
         self._up = trio.Event()
         self._received_ms: Milliseconds = 0
-        self._replies: dict[JobId | int, _Reply] = {}
+        self._replies: dict[_ReplyKey, _Reply] = {}
 
     @property
     def incarnation(self) -> int:
@@ -177,12 +180,14 @@
 
     async def settle(self, message: Settle) -> Settled | None:
         """Return the states of tasks; the caller sets a timeout."""
-        reply = await self._ask(message.job_id, message)
+        # Settlements of one job for several earlier owners may overlap.
+        key = (message.job_id, frozenset(message.indexes))
+        reply = await self._ask(key, message)
         return reply if isinstance(reply, Settled) else None
 
     async def _ask(
         self,
-        key: JobId | int,
+        key: _ReplyKey,
         message: Fence | Settle,
     ) -> GuardToEntry | None:
         reply = self._replies.setdefault(key, _Reply())
@@ -248,7 +253,8 @@
         if isinstance(message, Fenced):
             reply = self._replies.get(message.ended)
         elif isinstance(message, Settled):
-            reply = self._replies.get(message.job_id)
+            indexes = frozenset(report.index for report in message.reports)
+            reply = self._replies.get((message.job_id, indexes))
         if reply is None:
             self._context.events.received(self, message)
         else:
--- a/src/borageward/entry/takeover.py
+++ b/src/borageward/entry/takeover.py
@@ -107,6 +107,8 @@
         if settled is None:
             findings.unclear.update(sighting.indexes)
             return
+        reported = {report.index for report in settled.reports}
+        findings.unclear.update(set(sighting.indexes) - reported)
         for report in settled.reports:
             located = findings.located.setdefault(report.index, [])
             located.append(_Located(sighting, report))
--- a/tests/entry/cluster.py
+++ b/tests/entry/cluster.py
@@ -56,7 +56,13 @@
         self.dead = False
         self.ended = trio.Event()
         self.control = FakeControl(cluster.state)
-        settings = EntrySettings(name, '127.0.0.1:0', name, ())
+        settings = EntrySettings(
+            name,
+            '127.0.0.1:0',
+            name,
+            (),
+            guard_subset_size=cluster.subset,
+        )
         log = EventLog()
         self.core = EntryCore(
             settings,
@@ -92,8 +98,9 @@
 class Cluster:
     """Journals of the runners and answers of the callers."""
 
-    def __init__(self, nursery, guards=2, entries=2, slots=8):
+    def __init__(self, nursery, guards=2, entries=2, slots=8, subset=64):
         self.nursery = nursery
+        self.subset = subset
         self.state = ControlState()
         self.journal = []
         self.answers = []
--- a/tests/entry/test_entry_faults.py
+++ b/tests/entry/test_entry_faults.py
@@ -93,6 +93,44 @@
     assert answer.document['state'] == 'complete'
 
 
+@pytest.mark.parametrize('second_ms', (1600, 1700, 1720, 1740, 1800, 2000))
+@pytest.mark.parametrize('fault', ('', 'Fence', 'Settle', 'StartTasks'))
+async def test_second_owner_killed(autojump_clock, second_ms, fault):
+    """Guards against a third owner that knows only the second one."""
+    async with running_cluster(entries=3, slots=3) as cluster:
+        jobs = [JobText(count, ms=250) for count in (5, 6, 7)]
+        async with trio.open_nursery() as callers:
+            for job in jobs:
+                callers.start_soon(cluster.submit, 0, job)
+            await trio.sleep(0.1)
+            cluster.entries[0].kill()
+            if fault:
+                cluster.guards[0].faults[fault] = 'delay'
+            for again in jobs:
+                callers.start_soon(cluster.submit, 1, again)
+            await trio.sleep(second_ms / 1000)
+            cluster.entries[1].kill()
+        for last in jobs:
+            await cluster.submit(2, last)
+    states = {answer.document['state'] for answer in cluster.answers}
+    assert states <= {'complete', 'failed'}
+
+
+async def test_takeover_asks_guards_outside_the_subset(autojump_clock):
+    """Guards against tasks that start again at an entry's other guards."""
+    async with running_cluster(guards=6, subset=2) as cluster:
+        jobs = [JobText(count, ms=300) for count in (5, 6, 7)]
+        async with trio.open_nursery() as callers:
+            for job in jobs:
+                callers.start_soon(cluster.submit, 0, job)
+            await trio.sleep(0.1)
+            cluster.entries[0].kill()
+        for again in jobs:
+            await cluster.submit(1, again)
+    states = [answer.document['state'] for answer in cluster.answers]
+    assert states == ['complete', 'complete', 'complete']
+
+
 async def test_not_idempotent_is_sent_once(autojump_clock):
     """Guards against a retry of work that must run at most once."""
     async with running_cluster() as cluster:
