--- a/bench/policies/__main__.py
+++ b/bench/policies/__main__.py
@@ -67,6 +67,15 @@
 )
 
 
+NOTES = (
+    'Jobs that were refused have no response time and are left out of both',
+    'sides of the comparison with the ideal; the share of refused jobs is in',
+    'the section "steady". Claims of 5 ms and the delays between places and to',
+    'clients count in the response time, but not in the ideal. Reservations',
+    'by message and the platform port were not simulated.',
+)
+
+
 class Report:
     """Figures of all cells by scenario, deployment and variant."""
 
@@ -123,7 +132,7 @@
             first = self._groups[(scenario, 'salt', variants[0])][0]
             names = list(first.named)
             lines += ['', f'## {scenario}', '']
-            lines.append(' | '.join(('| deployment | variant', *names, '|')))
+            lines.append(_table_row(('deployment', 'variant', *names)))
             rules = ['---' for _ in ('deployment', 'variant', *names)]
             lines.append('|'.join(('', *rules, '')))
             for deployment in ('salt', 'swell'):
@@ -134,7 +143,7 @@
 
     def _row(self, key: tuple[str, str, str], names: list[str]) -> str:
         spreads = [self.spread(key, name) for name in names]
-        return ' | '.join(('|', key[1], key[2], *spreads, '|'))
+        return _table_row((key[1], key[2], *spreads))
 
 
 def outlier_lines(pool: ProcessPoolExecutor) -> list[str]:
@@ -163,7 +172,7 @@
         '|---|---|---|---|',
     ]
     for row in check_formula(2_000_000, 1):
-        lines.append(' | '.join(('|', *map(str, row), '|')))
+        lines.append(_table_row(map(str, row)))
     return lines
 
 
@@ -190,6 +199,11 @@
     ]
 
 
+def _table_row(columns: Iterable[str]) -> str:
+    joined = ' | '.join(columns)
+    return f'| {joined} |'
+
+
 def main() -> None:
     """Run all cells and write the report."""
     begun = time.monotonic()
@@ -211,6 +225,8 @@
         'range over the seeds. Reasons are in docs/decisions/.',
         '',
         *report.target_table(),
+        '',
+        *NOTES,
         *report.detail_tables(),
         *outliers,
         *cancellation,
