Test control under faults, fix two faults, add the claims benchmark

Cause: an introduction and a request of another voter stored the identity file at the same time, so an admitted voter could forget its admission; an election timer could sleep for a remainder lost to rounding and never advance. Change: the admission is stored under the lock of requests; sleeps last at least 1 ms.

--- /dev/null
+++ b/bench/claims.py
@@ -0,0 +1,268 @@
+"""Claims per second, and the time from a leader's death to the next claim.
+
+Usage: python bench/claims.py [seconds for each run]
+"""
+
+from __future__ import annotations
+
+import pathlib
+import random
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+
+import attrs
+import msgspec
+import trio
+
+from borageward.clock import SystemClock
+from borageward.controlclient import ControlClient, open_grpc_client
+from borageward.control.storage.records import scan_records
+from borageward.failures import Failure
+from borageward.identity import new_job_id
+from borageward.messages import control as messages
+from borageward.settings import ControlSettings, VoterAddress
+from borageward.transport import Address
+
+SCRIPT = pathlib.Path(__file__).with_name('control_process.py')
+CLIENTS = 32
+KILLS = 5
+TIMEOUT_MS = 10_000
+COLUMNS = (
+    'replicas',
+    'batch',
+    'claims/s',
+    'median ms',
+    'log B/cl',
+    'syncs/cl',
+    'RAM B/cl',
+)
+
+
+@attrs.define
+class Measured:
+    """Figures of one run."""
+
+    claims: int = 0
+    latencies_ms: list[float] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class LogSize:
+    """Size of a log; each record is one synced write."""
+
+    length_bytes: int
+    records: int
+
+
+class ProcessGroup:
+    """Control processes on ports of the loopback interface."""
+
+    def __init__(self, count: int, folder: pathlib.Path) -> None:
+        """Write the settings of the processes."""
+        self._folder = folder
+        ports = _free_ports(2 * count)
+        self.voters = tuple(
+            VoterAddress(
+                f'v{number}',
+                _address(ports[2 * number]),
+                _address(ports[2 * number + 1]),
+            )
+            for number in range(count)
+        )
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(self, voter: VoterAddress) -> None:
+        """Start the process of a voter."""
+        settings = ControlSettings(
+            voter.voter_id,
+            str(self._folder / voter.voter_id),
+            voter.address,
+            voter.member_address,
+            self.voters,
+        )
+        path = self._folder / f'{voter.voter_id}.json'
+        path.write_bytes(msgspec.json.encode(settings))
+        self._processes[voter.voter_id] = subprocess.Popen(
+            (sys.executable, str(SCRIPT), str(path)),
+        )
+
+    def kill(self, voter_id: str) -> None:
+        """Kill a process and wait for its end."""
+        self._processes[voter_id].kill()
+        self._processes[voter_id].wait()
+
+    def close(self) -> None:
+        """Kill all processes."""
+        for process in self._processes.values():
+            process.kill()
+            process.wait()
+
+    def memory_bytes(self, voter_id: str) -> int:
+        """Return the resident memory of a process."""
+        number = self._processes[voter_id].pid
+        status = pathlib.Path(f'/proc/{number}/statm').read_text()
+        return int(status.split()[1]) * 4096
+
+    def log_size(self, voter_id: str) -> LogSize:
+        """Return the size of the log segments of a process."""
+        paths = list((self._folder / voter_id).glob('log-*'))
+        documents = [path.read_bytes() for path in paths]
+        return LogSize(
+            sum(len(document) for document in documents),
+            sum(len(scan_records(item).payloads) for item in documents),
+        )
+
+    def addresses(self) -> list[Address]:
+        """Return the gRPC addresses."""
+        ports = [int(voter.address.split(':')[1]) for voter in self.voters]
+        return [Address('127.0.0.1', port) for port in ports]
+
+
+async def register(client: ControlClient) -> int:
+    """Return a new entry incarnation, once the cluster answers."""
+    nonce = random.randbytes(8)
+    request = messages.RegisterEntry(nonce, 'bench', 'here', 'a', 'b')
+    while True:
+        reply = await client.call(request, TIMEOUT_MS)
+        if isinstance(reply, messages.Registered):
+            return reply.incarnation
+
+
+async def keep_alive(client: ControlClient, incarnation: int) -> None:
+    """Send heartbeats."""
+    while True:
+        await client.call(messages.Heartbeat(incarnation, 0, 0), TIMEOUT_MS)
+        await trio.sleep(0.3)
+
+
+async def claim_jobs(
+    client: ControlClient,
+    incarnation: int,
+    batch: int,
+    measured: Measured,
+) -> None:
+    """Claim batches one after another."""
+    digest = bytes(16)
+    while True:
+        wall_ms = time.time_ns() // 1_000_000
+        requests = tuple(
+            messages.ClaimRequest(new_job_id(wall_ms), digest, 15)
+            for _ in range(batch)
+        )
+        started = time.perf_counter()
+        claim = messages.Claim(incarnation, requests)
+        reply = await client.call(claim, TIMEOUT_MS)
+        if isinstance(reply, messages.Claimed):
+            measured.claims += len(reply.answers)
+            elapsed = time.perf_counter() - started
+            measured.latencies_ms.append(elapsed * 1000)
+
+
+async def leader_of(client: ControlClient) -> messages.ControlStatus:
+    """Return the status of the replica that answers."""
+    while True:
+        reply = await client.call(messages.ReadControl(), TIMEOUT_MS)
+        if isinstance(reply, messages.ControlStatus) and reply.leader:
+            return reply
+
+
+async def measure_rate(group: ProcessGroup, batch: int, seconds: float) -> str:
+    """Return one line of the table."""
+    client = open_grpc_client(group.addresses(), SystemClock())
+    measured = Measured()
+    incarnation = await register(client)
+    leader = (await leader_of(client)).leader
+    memory = group.memory_bytes(leader)
+    before = group.log_size(leader)
+    with trio.move_on_after(seconds):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(keep_alive, client, incarnation)
+            for _ in range(CLIENTS):
+                nursery.start_soon(
+                    claim_jobs, client, incarnation, batch, measured
+                )
+    after = group.log_size(leader)
+    memory = group.memory_bytes(leader) - memory
+    await client.close()
+    claims = max(1, measured.claims)
+    median = statistics.median(measured.latencies_ms or [0])
+    columns = (
+        len(group.voters),
+        batch,
+        claims / seconds,
+        median,
+        (after.length_bytes - before.length_bytes) / claims,
+        (after.records - before.records) / claims,
+        memory / claims,
+    )
+    return ' '.join(format(column, '10.3f') for column in columns)
+
+
+async def measure_failover(group: ProcessGroup) -> list[float]:
+    """Return the times from a kill of the leader to the next claim."""
+    client = open_grpc_client(group.addresses(), SystemClock())
+    times_ms = []
+    for _ in range(KILLS):
+        incarnation = await register(client)
+        leader = (await leader_of(client)).leader
+        group.kill(leader)
+        started = time.perf_counter()
+        while not await _claim_one(client, incarnation):
+            await trio.sleep(0.005)
+        times_ms.append((time.perf_counter() - started) * 1000)
+        voter = next(item for item in group.voters if item.voter_id == leader)
+        group.start(voter)
+        await trio.sleep(2)
+    await client.close()
+    return times_ms
+
+
+async def _claim_one(client: ControlClient, incarnation: int) -> bool:
+    job_id = new_job_id(time.time_ns() // 1_000_000)
+    request = messages.ClaimRequest(job_id, bytes(16), 1)
+    claim = messages.Claim(incarnation, (request,))
+    reply = await client.call(claim, TIMEOUT_MS)
+    return not isinstance(reply, Failure)
+
+
+async def main(seconds: float) -> None:
+    """Print the table."""
+    print(' '.join(name.rjust(10) for name in COLUMNS))
+    for count in (1, 3):
+        for batch in (1, 10, 100):
+            with tempfile.TemporaryDirectory() as folder:
+                group = ProcessGroup(count, pathlib.Path(folder))
+                for voter in group.voters:
+                    group.start(voter)
+                with trio.move_on_after(seconds + 20):
+                    print(await measure_rate(group, batch, seconds))
+                group.close()
+    with tempfile.TemporaryDirectory() as folder:
+        group = ProcessGroup(3, pathlib.Path(folder))
+        for voter in group.voters:
+            group.start(voter)
+        with trio.move_on_after(60):
+            times_ms = await measure_failover(group)
+            shown = ' '.join(f'{time_ms:.0f}' for time_ms in times_ms)
+            print(f'kill of the leader to the next claim, ms: {shown}')
+        group.close()
+
+
+def _address(port: int) -> str:
+    return f'127.0.0.1:{port}'
+
+
+def _free_ports(count: int) -> list[int]:
+    sockets = [socket.create_server(('127.0.0.1', 0)) for _ in range(count)]
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+if __name__ == '__main__':
+    trio.run(main, float(sys.argv[1]) if len(sys.argv) > 1 else 5.0)
--- /dev/null
+++ b/bench/control_process.py
@@ -0,0 +1,27 @@
+"""One control process of the benchmark: reads settings, serves until killed."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+
+import msgspec
+import trio
+
+from borageward.clock import SystemClock
+from borageward.control import ControlService
+from borageward.settings import ControlSettings
+from borageward.telemetry import EventLog
+
+
+async def serve(path: str) -> None:
+    """Serve with the settings of a file."""
+    document = pathlib.Path(path).read_bytes()
+    settings = msgspec.json.decode(document, type=ControlSettings)
+    service = ControlService(settings, SystemClock(), EventLog())
+    async with trio.open_nursery() as nursery:
+        await service.start(nursery)
+
+
+if __name__ == '__main__':
+    trio.run(serve, sys.argv[1])
--- a/src/borageward/control/consensus/election.py
+++ b/src/borageward/control/consensus/election.py
@@ -15,6 +15,8 @@
 # little later than this replica did.
 _RETRY_MIN_SHARE = 0.1
 _RETRY_MAX_SHARE = 0.5
+# A remainder lost to rounding must not become a loop that never sleeps.
+_MIN_SLEEP_MS = 1.0
 _MS_PER_SECOND = 1000.0
 
 
@@ -58,7 +60,8 @@
         while self._silent_ms() < timeout_ms:
             timeout_ms = self._election_timeout_ms()
             while self._silent_ms() < timeout_ms:
-                await clock.sleep_ms(timeout_ms - self._silent_ms())
+                remaining_ms = timeout_ms - self._silent_ms()
+                await clock.sleep_ms(max(_MIN_SLEEP_MS, remaining_ms))
 
     def _silent_ms(self) -> Milliseconds:
         return self._options.clock.now_ms() - self._context.contact_ms
--- a/src/borageward/control/consensus/introduction.py
+++ b/src/borageward/control/consensus/introduction.py
@@ -35,9 +35,15 @@
         for replica in self._options.initial:
             if replica.voter_id != self._options.voter_id:
                 await self._introduce_to(replica.voter_id)
-        while await self._context.store_identity(admitted=True) is not None:
+        while not await self._admit():
             await self._pause()
 
+    async def _admit(self) -> bool:
+        # Requests store identities of other replicas in the same file.
+        async with self._context.lock:
+            failure = await self._context.store_identity(admitted=True)
+        return failure is None
+
     async def _introduce_to(self, voter_id: str) -> None:
         request = Introduce(
             self._options.voter_id,
--- a/tests/control/fakes.py
+++ b/tests/control/fakes.py
@@ -65,6 +65,14 @@
         self.full = False
         self.fail_sync = False
 
+    def fill(self):
+        """Refuse all writes for lack of space."""
+        self.full = True
+
+    def break_sync(self):
+        """Let the next sync fail."""
+        self.fail_sync = True
+
 
 class FakeDisk:
     """Disk of one process; the process may die while a sync runs."""
@@ -139,8 +147,8 @@
         self.random = random.Random(seed)
         self.processes: dict[str, FakeProcess] = {}
         self.blocked: set[tuple[str, str]] = set()
-        self.loss = 0.0
-        self.duplicates = 0.0
+        self.loss = 0
+        self.duplicates = 0
         self.delay_ms = (0.2, 1.5)
 
     def isolate(self, name, *, inbound=True, outbound=True):
@@ -153,8 +161,8 @@
 
     def heal(self):
         self.blocked.clear()
-        self.loss = 0.0
-        self.duplicates = 0.0
+        self.loss = 0
+        self.duplicates = 0
 
     async def travel(self, sender, receiver):
         """Take the time of one way; a lost message never arrives."""
@@ -216,7 +224,6 @@
 
     async def start(self):
         """Start on the medium, with the memory of a new process."""
-        self.alive = True
         self.ended_by = None
         self.gate = Gate()
         self._scope = trio.CancelScope()
@@ -250,6 +257,8 @@
         try:
             with scope:
                 await self.node.open()
+                # A process listens once it has read its disk.
+                self.alive = True
                 task_status.started()
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(leases.run)
--- /dev/null
+++ b/tests/control/test_repair.py
@@ -0,0 +1,171 @@
+"""Repair of a cluster: lost disks, replaced voters, late restarts."""
+
+from __future__ import annotations
+
+import trio
+from trio.testing import MockClock
+
+from borageward.failures import Failure, FailureReason
+from borageward.messages import control as messages
+from borageward.messages.configuration import SetLimit
+from tests.control.fakes import Cluster, Medium
+from tests.control.workload import TIMEOUT_MS, Workload
+
+ADDRESS = '127.0.0.1:1'
+
+
+def run(scenario):
+    """Run a scenario on a cluster in virtual time."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            cluster = Cluster(nursery, seed=3)
+            await cluster.start()
+            await cluster.wait_leader()
+            await scenario(cluster, Workload(cluster, 3))
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+async def call(workload, request):
+    return await workload.client().call(request, TIMEOUT_MS)
+
+
+async def change(workload, request):
+    """Repeat a change of the replicas until it is done."""
+    with trio.fail_after(60):
+        while await call(workload, request) != messages.Done():
+            await trio.sleep(0.1)
+
+
+async def apply_changes(workload, count):
+    for base in range(count):
+        request = messages.ApplyChange(
+            str(base).encode(), base, SetLimit('max_open_jobs', base), 'o', 'r'
+        )
+        assert await call(workload, request) == messages.Applied(base + 1)
+
+
+def test_second_host_lost_after_a_repair():
+    """Guards against a repair that leaves entries on one disk only."""
+
+    async def scenario(cluster, workload):
+        await workload.run(1500)
+        cluster['c'].kill()
+        cluster['c'].medium = Medium()
+        learner = cluster.add('d', learner=True)
+        await learner.start()
+        await change(workload, messages.AddLearner('d', ADDRESS, ADDRESS))
+        await change(workload, messages.PromoteVoter('d'))
+        await change(workload, messages.RemoveVoter('c'))
+        cluster.leader().kill()
+        await workload.check()
+        await workload.run(1500)
+        await workload.check()
+        refused = await call(
+            workload, messages.AddLearner('c', ADDRESS, ADDRESS)
+        )
+        assert refused.reason is FailureReason.INVALID_REQUEST
+
+    run(scenario)
+
+
+def test_lost_disk_must_not_vote():
+    """Guards against a vote of a disk that forgot what it acknowledged."""
+
+    async def scenario(cluster, workload):
+        await workload.run(1500)
+        leader = cluster.leader()
+        behind = next(item for item in cluster if item is not leader)
+        cluster.network.isolate(behind.voter_id)
+        await workload.run(1500)
+        lost = next(item for item in cluster if item not in {leader, behind})
+        lost.kill()
+        lost.medium = Medium()
+        leader.kill()
+        cluster.network.heal()
+        lost.learner = True
+        await lost.start()
+        await trio.sleep(20)
+        assert cluster.leader() is None
+        lost.kill()
+        lost.medium = Medium()
+        lost.learner = False
+        await lost.start()
+        await trio.sleep(5)
+        assert lost.ended_by.reason is FailureReason.STORAGE_FAILED
+        await leader.start()
+        await workload.check()
+
+    run(scenario)
+
+
+def test_restart_after_hundreds_of_changes():
+    """Guards against a replica that cannot catch up by a snapshot."""
+
+    async def scenario(cluster, workload):
+        behind = next(item for item in cluster if item is not cluster.leader())
+        behind.kill()
+        await apply_changes(workload, 400)
+        await behind.start()
+        with trio.fail_after(30):
+            while behind.node.machine.revisions.revision < 400:
+                await trio.sleep(0.05)
+        for process in cluster:
+            process.kill()
+        for process in cluster:
+            await process.start()
+        reply = await call(workload, messages.ReadConfiguration())
+        while isinstance(reply, Failure):
+            reply = await call(workload, messages.ReadConfiguration())
+        assert reply.revision == 400
+
+    run(scenario)
+
+
+def test_learner_is_promoted_only_when_caught_up():
+    """Guards against a majority that counts an empty disk."""
+
+    async def scenario(cluster, workload):
+        await apply_changes(workload, 5)
+        learner = cluster.add('d', learner=True)
+        cluster.network.isolate('d')
+        await learner.start()
+        await change(workload, messages.AddLearner('d', ADDRESS, ADDRESS))
+        refused = await call(workload, messages.PromoteVoter('d'))
+        assert refused.reason is FailureReason.VOTER_CHANGE_PENDING
+
+    run(scenario)
+
+
+def test_silent_members_end_and_new_leader_grants_full_lease():
+    """Guards against leases that never end or end with the leader."""
+
+    async def scenario(cluster, workload):
+        entry = messages.RegisterEntry(b'1', 'e', '', '', '')
+        entry = await call(workload, entry)
+        guard = messages.RegisterGuard(b'2', 'w', '', '', '', '', 1)
+        guard = await call(workload, guard)
+        beat = messages.Heartbeat(guard.incarnation, 0, 0, leaving=True)
+        await trio.sleep(1.2)
+        old = cluster.leader()
+        old.kill()
+        await cluster.wait_leader(other_than=old)
+        await call(workload, beat)
+        watched = await call(workload, messages.Watch(0, 0))
+        assert [item.ended_at for item in watched.entries] == [0]
+        assert [item.leaving for item in watched.guards] == [True]
+        watched = await call(workload, messages.Watch(watched.version, 600))
+        await trio.sleep(2)
+        reply = await call(workload, beat)
+        assert reply.ended == (entry.incarnation,)
+        pending = await call(workload, messages.ReadInForce(1))
+        assert len(pending.pending) == 2
+        await trio.sleep(4)
+        ended = await call(workload, beat)
+        assert ended.reason is FailureReason.INCARNATION_ENDED
+        since = await call(workload, messages.GuardsSince(guard.incarnation))
+        assert [item.worker for item in since.guards] == ['w']
+
+    run(scenario)
--- a/tests/control/workload.py
+++ b/tests/control/workload.py
@@ -9,7 +9,6 @@
 
 from borageward.controlclient import ControlClient
 from borageward.failures import Failure, FailureReason
-from borageward.identity import new_job_id
 from borageward.messages import control as messages
 from borageward.messages.configuration import SetLimit
 from tests.control.fakes import START_WALL_MS, FakeClock
@@ -61,7 +60,10 @@
         self._random = random.Random(seed)
         self.acknowledged = Acknowledged()
         wall_ms = START_WALL_MS
-        self._jobs = [new_job_id(wall_ms + at * 40) for at in range(400)]
+        self._jobs = [
+            (wall_ms + at * 40).to_bytes(6, 'big') + self._random.randbytes(10)
+            for at in range(400)
+        ]
 
     def client(self):
         source = random.Random(self._random.random())
@@ -124,13 +126,13 @@
                 scope.cancel()
             if isinstance(reply, messages.HeartbeatReply):
                 self.acknowledged.read_revision(reply.revision, before)
-            pause_ms = 300 if self._random.random() < 0.95 else 4000
+            pause_ms = 300 if self._random.randrange(20) else 4000
             await trio.sleep(pause_ms / 1000)
 
     async def _claim(self, client, incarnation, scope):
         while True:
             job_ids = tuple(self._random.sample(self._jobs[:200], 3))
-            if self._random.random() < 0.5:
+            if self._random.randrange(2):
                 self._jobs.append(self._jobs.pop(0))
             requests = tuple(claim_request(job_id) for job_id in job_ids)
             claim = messages.Claim(incarnation, requests)
