--- a/tests/control/workload.py
+++ b/tests/control/workload.py
@@ -9,7 +9,6 @@
 
 from borageward.controlclient import ControlClient
 from borageward.failures import Failure, FailureReason
-from borageward.identity import new_job_id
 from borageward.messages import control as messages
 from borageward.messages.configuration import SetLimit
 from tests.control.fakes import START_WALL_MS, FakeClock
@@ -61,7 +60,10 @@
         self._random = random.Random(seed)
         self.acknowledged = Acknowledged()
         wall_ms = START_WALL_MS
-        self._jobs = [new_job_id(wall_ms + at * 40) for at in range(400)]
+        self._jobs = [
+            (wall_ms + at * 40).to_bytes(6, 'big') + self._random.randbytes(10)
+            for at in range(400)
+        ]
 
     def client(self):
         source = random.Random(self._random.random())
