Bind approvals to the change at control; add the fault matrix

Cause: control compared the digest of an approval alone, so the digest of one approved plan could be sent along with another change. Change: control checks that the plan text has that digest and states the change. docs/faults.md names a proof, a reason or N for each cell, and a test checks that the named tests exist. Load announcements are off in the benchmark of the policies, as they are in the guard. Result: the test of approvals fails without the check and passes with it.

--- a/bench/policies/__main__.py
+++ b/bench/policies/__main__.py
@@ -38,7 +38,7 @@
             'random',
             'two choices',
             'idle push',
-            'no announcements',
+            'announcements',
             'report on every change',
             'one class',
         ),
--- a/bench/policies/cells.py
+++ b/bench/policies/cells.py
@@ -22,7 +22,7 @@
 from borageward.configuration import Limits, Service
 from borageward.policy.adaptive_dispatch import DispatchParts
 from borageward.policy.admission import QueueLengthAdmission
-from borageward.policy.announcing import SilentAnnouncer
+from borageward.policy.announcing import BudgetedAnnouncer
 from borageward.policy.outliers import NoOutliers
 from borageward.policy.placement import (
     IdlePushPlacement,
@@ -101,6 +101,9 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
 
+ANNOUNCING = frozenset(('announcements', 'report on every change'))
+
+
 def run_cell(cell: Cell) -> Figures:
     """Run one cell."""
     deployment = DEPLOYMENTS[cell.deployment]
@@ -116,8 +119,8 @@
     parts = PARTS.get(cell.variant)
     if parts is not None:
         options['parts'] = parts
-    if cell.variant == 'no announcements':
-        options['announcer'] = SilentAnnouncer
+    if cell.variant in ANNOUNCING:
+        options['announcer'] = BudgetedAnnouncer
     return Setup(deployment, Limits(**changes), **options)
 
 
--- a/bench/policies/setup.py
+++ b/bench/policies/setup.py
@@ -11,7 +11,7 @@
 from bench.policies.workload import Deployment
 from borageward.configuration import Limits, Service
 from borageward.policy.adaptive_dispatch import DispatchParts
-from borageward.policy.announcing import BudgetedAnnouncer, LoadAnnouncer
+from borageward.policy.announcing import LoadAnnouncer, SilentAnnouncer
 from borageward.policy.class_scheduler import ClassSlotScheduler
 from borageward.policy.scheduler import SlotScheduler
 
@@ -45,7 +45,7 @@
         DispatchParts()
     )
     scheduler: Callable[[int, Limits], SlotScheduler] = ClassSlotScheduler
-    announcer: Callable[[Limits], LoadAnnouncer[Entry]] = BudgetedAnnouncer
+    announcer: Callable[[Limits], LoadAnnouncer[Entry]] = SilentAnnouncer
     failing: str = ''
     failing_from_ms: float = 0
     failure_share: float = 0
--- a/src/borageward/control/state/revisions.py
+++ b/src/borageward/control/state/revisions.py
@@ -21,6 +21,7 @@
 )
 from borageward.failures import Failure, FailureReason
 from borageward.identity import body_digest
+from borageward.language.plan import plan_covers
 from borageward.messages.base import Rejected
 from borageward.messages.control import (
     Applied,
@@ -161,6 +162,11 @@
                 FailureReason.APPROVAL_REQUIRED,
                 'this plan is not approved for the newest revision',
             )
+        if not plan_covers(request):
+            return Rejected(
+                FailureReason.APPROVAL_MISMATCH,
+                'the approved plan states another change',
+            )
         return None
 
     def _add(
--- a/tests/control/test_state.py
+++ b/tests/control/test_state.py
@@ -8,6 +8,8 @@
 from borageward.control.state import StateMachine
 from borageward.failures import FailureReason
 from borageward.identity import new_job_id
+from borageward.language.plan import plan_digest
+from borageward.language.sentences import sentence_of
 from borageward.messages import control as messages
 from borageward.messages.configuration import SetApproval, SetLimit
 from borageward.messages.consensus import LogEntry, StartTerm
@@ -150,17 +152,31 @@
 def test_approval_binds_plan_and_revision():
     """Guards against an unapproved change that takes effect."""
     log = Log()
+    text = f'Change: {sentence_of(SetLimit("max_open_jobs", 1))}'
+    plan = plan_digest(text, 1)
     required = messages.ApplyChange(b'0', 0, SetApproval(True), 'ana', '')
     assert log.apply(required) == messages.Applied(1)
-    refused = log.change(b'1', 1, plan_digest=b'plan')
+    refused = log.change(b'1', 1, plan_digest=plan)
     assert refused.reason is FailureReason.APPROVAL_REQUIRED
-    stale = messages.Approve(b'2', b'plan', 0, 'chief')
+    stale = messages.Approve(b'2', plan, 0, 'chief')
     assert isinstance(log.apply(stale), messages.RevisionConflict)
-    log.apply(messages.Approve(b'3', b'plan', 1, 'chief'))
+    log.apply(messages.Approve(b'3', plan, 1, 'chief'))
     refused = log.change(b'4', 1, plan_digest=b'other')
     assert refused.reason is FailureReason.APPROVAL_MISMATCH
     assert log.change(b'5', 1).reason is FailureReason.APPROVAL_REQUIRED
-    assert log.change(b'6', 1, plan_digest=b'plan') == messages.Applied(2)
+    other = messages.ApplyChange(
+        b'8',
+        1,
+        SetLimit('max_open_jobs', 9),
+        'ana',
+        'r',
+        plan,
+        text,
+    )
+    refused = log.apply(other)
+    assert refused.reason is FailureReason.APPROVAL_MISMATCH
+    applied = log.change(b'6', 1, plan_digest=plan, plan_text=text)
+    assert applied == messages.Applied(2)
     assert log.machine.revisions.history(1)[0].approver == 'chief'
-    refused = log.change(b'7', 2, plan_digest=b'plan')
+    refused = log.change(b'7', 2, plan_digest=plan, plan_text=text)
     assert refused.reason is FailureReason.APPROVAL_REQUIRED
--- /dev/null
+++ b/tests/docs/test_faults.py
@@ -0,0 +1,62 @@
+"""The fault matrix names tests that exist and leaves no cell empty."""
+
+from __future__ import annotations
+
+import pathlib
+import re
+
+_ROOT = pathlib.Path(__file__).resolve().parents[2]
+_PAGE = _ROOT / 'docs' / 'faults.md'
+_KEY = re.compile(r'^- ([A-Z]+\d*): (.*)$')
+_TEST = re.compile(r'`(tests/\S+?\.py)::(\w+)')
+_STEPS = 17
+_FAULTS = 11
+
+
+def _rows():
+    lines = _PAGE.read_text('utf-8').splitlines()
+    table = [line for line in lines if line.startswith('| ')]
+    cells = [
+        [cell.strip() for cell in line.strip('|').split('|')] for line in table
+    ]
+    return [row for row in cells if not row[0].startswith('---')]
+
+
+def _keys():
+    found = {}
+    for line in _PAGE.read_text('utf-8').splitlines():
+        match = _KEY.match(line)
+        if match:
+            found[match.group(1)] = match.group(2)
+    return found
+
+
+def test_matrix_is_whole():
+    """Guards against a step or a fault that nobody looked at."""
+    rows = _rows()
+    header = rows[0]
+    steps = rows[1 : _STEPS + 1]
+    assert len(header) == _FAULTS + 1
+    assert len(steps) == _STEPS
+    for row in steps:
+        assert len(row) == _FAULTS + 1, row[0]
+        assert all(row), row[0]
+
+
+def test_cells_use_defined_keys():
+    """Guards against a cell whose proof is not named anywhere."""
+    keys = _keys()
+    for row in _rows()[1 : _STEPS + 1]:
+        for cell in row[1:]:
+            for key in cell.split():
+                assert key in keys, (row[0], key)
+
+
+def test_named_tests_exist():
+    """Guards against a proof that was renamed or removed."""
+    page = _PAGE.read_text('utf-8')
+    named = _TEST.findall(page)
+    assert named
+    for path, name in named:
+        source = (_ROOT / path).read_text('utf-8')
+        assert f'def {name}(' in source, (path, name)
