Keep waiting tasks through a second freeze of a fake process

Cause: freezing a frozen process replaced its event, so tasks that waited on the first one never went on, and the scenario freeze-freeze hung at times. Change: a second freeze keeps the event.

--- a/tests/control/fakes.py
+++ b/tests/control/fakes.py
@@ -30,7 +30,9 @@
         self._open.set()
 
     def freeze(self):
-        self._open = trio.Event()
+        # A second freeze must not forget those that wait already.
+        if self._open.is_set():
+            self._open = trio.Event()
 
     def thaw(self):
         self._open.set()
