--- a/src/borageward/controlclient/client.py
+++ b/src/borageward/controlclient/client.py
@@ -21,6 +21,8 @@
         FailureReason.NO_QUORUM,
         FailureReason.TIMEOUT,
         FailureReason.LINK_BROKEN,
+        # Another replica may have room on its disk and become the leader.
+        FailureReason.DISK_FULL,
     )
 )
 
