Write the steps of tasks as events of entries and guards

One event covers all tasks of a message that share an attempt, with a list of index ranges. Results carry no attempt, so the timeline chains them by job, task and worker. They are replaced by an order of forwarded answers.

--- a/src/borageward/entry/core.py
+++ b/src/borageward/entry/core.py
@@ -61,7 +61,7 @@
         self._session = self._new_session(clock)
         gate = StartGate(self._session)
         jobs = OpenJobs()
-        self._dispatcher = Dispatcher(policy, jobs, gate, clock)
+        self._dispatcher = Dispatcher(policy, jobs, gate, clock, log)
         self._directory = Directory(
             links.control,
             LinkContext(
@@ -94,6 +94,7 @@
                 AnswerStore(clock),
                 gate,
                 clock,
+                log,
             ),
         )
 
--- a/src/borageward/entry/desk.py
+++ b/src/borageward/entry/desk.py
@@ -16,6 +16,7 @@
 from borageward.messages.control import ClaimAnswer
 from borageward.messages.entry import CancelJob, ReadJob
 from borageward.policy import DispatchPolicy, JobNeed
+from borageward.telemetry.events import JOB_ANSWERED
 
 # Bodies of all open jobs and results kept for callers stay below this.
 MAX_OPEN_BYTES = 268_435_456
@@ -178,6 +179,11 @@
     async def _run(self, job: Job) -> None:
         answer = await JobRun(job, self._context).answer()
         self._jobs.remove(job)
+        self._context.log.debug(
+            JOB_ANSWERED,
+            job=job.job_id,
+            status=answer.status,
+        )
         job.publish(answer)
         if not len(self._jobs):
             self._idle.set()
--- a/src/borageward/entry/dispatcher.py
+++ b/src/borageward/entry/dispatcher.py
@@ -15,6 +15,7 @@
 from borageward.failures import Failure, FailureReason, RunState
 from borageward.messages.guard import StartTasks, Withdraw
 from borageward.policy import Assignment, DispatchPolicy
+from borageward.telemetry import EventLog
 
 # An entry without a valid lease looks again after this time.
 _GATE_POLL_MS = 50.0
@@ -31,6 +32,7 @@
         jobs: OpenJobs,
         gate: StartGate,
         clock: Clock,
+        log: EventLog,
     ) -> None:
         """Prepare the dispatcher of one entry."""
         self._policy = policy
@@ -38,7 +40,14 @@
         self._gate = gate
         self._clock = clock
         self._wake = trio.Event()
-        self._settlement = Settlement(policy, jobs, gate, clock, self.wake)
+        self._settlement = Settlement(
+            policy,
+            jobs,
+            gate,
+            clock,
+            self.wake,
+            log,
+        )
 
     @property
     def settlement(self) -> Settlement:
--- a/src/borageward/entry/jobrun.py
+++ b/src/borageward/entry/jobrun.py
@@ -24,6 +24,8 @@
     OutcomeKind,
 )
 from borageward.messages.entry import ForwardJob
+from borageward.telemetry import EventLog
+from borageward.telemetry.events import JOB_CLAIMED
 
 # After the deadline, tasks that have started get this time to finish.
 _GRACE_MS = 500.0
@@ -58,6 +60,7 @@
     answers: AnswerStore
     gate: StartGate
     clock: Clock
+    log: EventLog
 
 
 class JobRun:
@@ -124,7 +127,7 @@
             if claim.former_owners:
                 # The answer of an earlier takeover was lost.
                 return await self._settle(claim)
-            self._job.claimed(claim.owner)
+            self._claimed(claim)
             context.dispatcher.enqueue(self._job, self._job.tasks)
             return await self._finish()
         if claim.state is ClaimState.CLAIMED:
@@ -135,6 +138,15 @@
             return await self._forward(claim)
         return await self._take_over(claim)
 
+    def _claimed(self, claim: ClaimAnswer) -> None:
+        self._job.claimed(self._context.gate.incarnation)
+        self._context.log.debug(
+            JOB_CLAIMED,
+            job=self._job.job_id,
+            incarnation=claim.owner,
+            claimed_at=claim.claimed_at,
+        )
+
     async def _forward(self, claim: ClaimAnswer) -> Answer | None:
         job = self._job
         left_ms = remaining_ms(self._context.clock, job)
@@ -162,7 +174,7 @@
 
     async def _settle(self, claim: ClaimAnswer) -> Answer:
         """Settle a job that earlier owners may have started."""
-        self._job.claimed(self._context.gate.incarnation)
+        self._claimed(claim)
         failure = await self._context.takeover.recover(
             self._job,
             claim,
--- a/src/borageward/entry/settlement.py
+++ b/src/borageward/entry/settlement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 import msgspec
@@ -27,6 +27,11 @@
 )
 from borageward.messages.task import TaskOutcome, TaskPhase, TaskReport
 from borageward.policy import DispatchPolicy
+from borageward.telemetry import EventLog, log_attempts, log_results
+from borageward.telemetry.events import (
+    TASK_RESULT_RECEIVED,
+    TASK_START_SENT,
+)
 
 
 class Settlement:
@@ -44,8 +49,10 @@
         gate: StartGate,
         clock: Clock,
         wake: Callable[[], None],
+        log: EventLog,
     ) -> None:
         """Prepare the rules for the jobs of one entry."""
+        self._log = log
         self._policy = policy
         self._jobs = jobs
         self._gate = gate
@@ -111,6 +118,13 @@
             return None
         for spec in specs:
             job.tasks[spec.index].placement = Placement.SENT
+        log_attempts(
+            self._log,
+            TASK_START_SENT,
+            job.job_id,
+            ((spec.index, spec.attempt) for spec in specs),
+            worker=link.worker,
+        )
         remaining_ms = max(0, job.deadline_ms - self._clock.now_ms())
         return msgspec.structs.replace(
             message,
@@ -123,6 +137,7 @@
         if isinstance(message, _WITH_LOAD):
             self._report_load(link, message.load)
         if isinstance(message, TasksFinished):
+            self._note_results(link, message.outcomes)
             for outcome in message.outcomes:
                 self._finished(link, outcome)
         elif isinstance(message, TasksRefused):
@@ -161,10 +176,24 @@
         """Use the state of one task that a guard settled."""
         task = job.tasks[report.index]
         if report.phase is TaskPhase.FINISHED and report.outcome is not None:
-            self._finished(link, JobOutcome(job.job_id, report.outcome))
+            finished = JobOutcome(job.job_id, report.outcome)
+            self._note_results(link, (finished,))
+            self._finished(link, finished)
         elif report.phase is TaskPhase.NOT_RUN and _is_at(task, link):
             self._not_run(link, job, task, Failure(FailureReason.WITHDRAWN))
 
+    def _note_results(
+        self,
+        link: GuardLink,
+        outcomes: Iterable[JobOutcome],
+    ) -> None:
+        log_results(
+            self._log,
+            TASK_RESULT_RECEIVED,
+            ((known.job_id, known.outcome.index) for known in outcomes),
+            worker=link.worker,
+        )
+
     def _finished(self, link: GuardLink, finished: JobOutcome) -> None:
         outcome = finished.outcome
         job = self._jobs.get(finished.job_id)
--- a/src/borageward/guard/admission.py
+++ b/src/borageward/guard/admission.py
@@ -13,6 +13,8 @@
 from borageward.messages.guard import StartTasks, TasksRefused
 from borageward.messages.task import TaskSpec
 from borageward.policy.scheduler import GuardTask
+from borageward.telemetry import EventLog, log_attempts
+from borageward.telemetry.events import TASK_START_RECEIVED
 
 
 @attrs.define(slots=True)
@@ -31,9 +33,10 @@
 class Admission:
     """Handles ``StartTasks``; each task of a job starts at most once."""
 
-    def __init__(self, state: GuardState) -> None:
+    def __init__(self, state: GuardState, log: EventLog) -> None:
         """Prepare admission to the slots of a guard."""
         self._state = state
+        self._log = log
 
     def start(self, link: EntryLink, message: StartTasks) -> None:
         """Accept or refuse the tasks of a message from a link."""
@@ -74,6 +77,7 @@
         for held in self._state.tasks.of_job(message.job_id):
             held.link = link
         now_ms = self._state.clock.now_ms()
+        accepted: list[tuple[int, int]] = []
         for spec in message.tasks:
             key = (message.job_id, spec.index)
             if self._state.tasks.find(key) is not None:
@@ -82,9 +86,17 @@
                 link.push(key)
                 continue
             refused = self._offer(link, record, message, spec, now_ms)
-            if refused is not None:
+            if refused is None:
+                accepted.append((spec.index, spec.attempt))
+            else:
                 record.raise_floor(spec.index, spec.attempt)
                 refusals.add(spec, refused.reason)
+        log_attempts(
+            self._log,
+            TASK_START_RECEIVED,
+            message.job_id,
+            accepted,
+        )
 
     def _offer(
         self,
--- a/src/borageward/guard/executor.py
+++ b/src/borageward/guard/executor.py
@@ -13,6 +13,8 @@
 from borageward.messages.guard import TasksRefused
 from borageward.messages.task import TaskOutcome, TaskPhase
 from borageward.policy.scheduler import GuardTask
+from borageward.telemetry import EventLog
+from borageward.telemetry.events import TASK_RUN_FINISHED, TASK_RUN_STARTED
 
 # An answer that arrives shortly after the deadline still tells that it ran.
 RUN_GRACE_MS = 2000.0
@@ -24,8 +26,14 @@
 class Executor:
     """Starts accepted tasks as slots, the lease and the results allow."""
 
-    def __init__(self, state: GuardState, runner: RunnerClient) -> None:
+    def __init__(
+        self,
+        state: GuardState,
+        runner: RunnerClient,
+        log: EventLog,
+    ) -> None:
         """Prepare an executor for one runner."""
+        self._log = log
         self._state = state
         self._runner = runner
         self._nursery: trio.Nursery | None = None
@@ -87,6 +95,7 @@
             held.phase = TaskPhase.RUNNING
             held.task.started_ms = self._state.clock.now_ms()
             self._state.ledger.mark_started(*held.key)
+            self._note(TASK_RUN_STARTED, held)
             await self._run(held, connection)
             run_ms = self._state.clock.now_ms() - held.task.started_ms
             self._state.scheduler.release(held.task, run_ms)
@@ -144,4 +153,22 @@
     def _finish(self, held: AcceptedTask, outcome: TaskOutcome) -> None:
         run_ms = self._state.clock.now_ms() - held.task.started_ms
         timed = msgspec.structs.replace(outcome, run_ms=run_ms)
+        self._note(TASK_RUN_FINISHED, held, outcome.reason)
         self._state.finish(held, timed)
+
+    def _note(
+        self,
+        name: str,
+        held: AcceptedTask,
+        reason: FailureReason | None = None,
+    ) -> None:
+        if self._log.writes_steps:
+            job_id, index = held.key
+            fields = {} if reason is None else {'reason': reason}
+            self._log.debug(
+                name,
+                job=job_id,
+                tasks=index,
+                attempt=held.attempt,
+                **fields,
+            )
--- a/src/borageward/guard/server.py
+++ b/src/borageward/guard/server.py
@@ -26,7 +26,8 @@
     Welcome,
     Withdraw,
 )
-from borageward.telemetry import EventLog
+from borageward.telemetry import EventLog, log_results
+from borageward.telemetry.events import TASK_RESULT_SENT
 from borageward.transport import FrameConnection, LinkClosed
 
 _HELLO_TIMEOUT_S = 5.0
@@ -57,7 +58,8 @@
         self._executor = executor
         self._identity = identity
         self._log = log
-        self._admission = Admission(state)
+        self._steps = log.bind(worker=identity.worker)
+        self._admission = Admission(state, self._steps)
         self._settlement = Settlement(state)
 
     async def serve(self, stream: trio.abc.Stream) -> None:
@@ -141,4 +143,9 @@
         return messages
 
     def _finished(self, batch: list[JobOutcome]) -> TasksFinished:
+        log_results(
+            self._steps,
+            TASK_RESULT_SENT,
+            ((sent.job_id, sent.outcome.index) for sent in batch),
+        )
         return TasksFinished(tuple(batch), self._state.load())
--- a/src/borageward/guard/service.py
+++ b/src/borageward/guard/service.py
@@ -104,7 +104,8 @@
         self._network = network
         self._identity = identity
         self._log = log
-        self._executor = Executor(state, runner)
+        steps = log.bind(worker=identity.worker)
+        self._executor = Executor(state, runner, steps)
         self._server = LinkServer(state, self._executor, identity, log)
         self._monitor = RunnerMonitor(runner, state.clock)
         self._scope = trio.CancelScope()
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -1,7 +1,9 @@
 """Names of all events, with their fields and meaning.
 
-The steps of a task carry ``job``, ``task`` and ``attempt``; the timeline
-orders them by this chain across processes.
+The steps of tasks carry ``job``, ``worker`` and ``tasks``, the list of the
+indexes that share the event; the timeline orders them by task across
+processes. Steps up to the run carry ``attempt`` too; a guard starts a task at
+most once, so job, task and worker name its result.
 """
 
 from __future__ import annotations
@@ -63,31 +65,31 @@
             'The claim is synced by a majority, before any start.',
         ),
         TASK_START_SENT: _step(
-            'job, task, attempt, worker',
+            'job, tasks, attempt, worker',
             'The entry is about to send the start.',
         ),
         TASK_START_RECEIVED: _step(
-            'job, task, attempt, worker, incarnation',
-            'The guard has recorded the start.',
+            'job, tasks, attempt, worker',
+            'The guard has accepted the start.',
         ),
         TASK_RUN_STARTED: _step(
-            'job, task, attempt, worker',
+            'job, tasks, attempt, worker',
             'The guard is about to send the task to the runner.',
         ),
         TASK_RUN_FINISHED: _step(
-            'job, task, attempt, worker, reason',
+            'job, tasks, attempt, worker, reason',
             'The runner has answered or failed.',
         ),
         TASK_RESULT_SENT: _step(
-            'job, task, attempt, worker',
+            'job, tasks, worker',
             'The guard is about to send the outcome to the entry.',
         ),
         TASK_RESULT_RECEIVED: _step(
-            'job, task, attempt, worker',
-            'The entry has recorded the outcome.',
+            'job, tasks, worker',
+            'The entry has received the outcome.',
         ),
         JOB_ANSWERED: _step(
-            'job, status, reason',
+            'job, status',
             'The whole answer or the typed failure is about to be sent.',
         ),
         'process_started': _info('', 'All roles of the process serve.'),
@@ -158,6 +160,7 @@
     '`scripts/reference`. Each line has `t` (microseconds of wall time,',
     'increasing within a process), `level`, `event`, `process` and `place`,',
     'then the fields below.',
+    'A list of `tasks` is written as ranges joined by `+`, such as `0-9+12`.',
     'Text that is not plain is quoted as JSON. `borageward timeline` merges',
     'the files of several processes in causal order; it needs level `debug`',
     'for the steps of single tasks.',
--- a/src/borageward/telemetry/log.py
+++ b/src/borageward/telemetry/log.py
@@ -27,6 +27,11 @@
         """Prepare a log whose lines carry the fields."""
         self._fields = fields
 
+    @property
+    def writes_steps(self) -> bool:
+        """Tell whether events at level ``debug`` are written."""
+        return _destination.writes('debug')
+
     def bind(self, **fields: Any) -> EventLog:
         """Return a log whose lines carry further fields."""
         return EventLog(**{**self._fields, **fields})
--- a/src/borageward/timeline/order.py
+++ b/src/borageward/timeline/order.py
@@ -20,12 +20,20 @@
 from borageward.telemetry.events import (
     JOB_ANSWERED,
     JOB_CLAIMED,
-    TASK_START_SENT,
+    TASK_RUN_FINISHED,
     TASK_STEPS,
 )
+from borageward.telemetry.steps import parse_index_text
 from borageward.timeline.event import Event
 
-_TASK_FIELDS = ('job', 'task', 'attempt')
+_COMPLETE = '200'
+_RUN_END = TASK_STEPS.index(TASK_RUN_FINISHED)
+# A result is named by its worker: it carries no attempt, and a guard starts a
+# task at most once.
+_CHAINS = (
+    ('attempt', TASK_STEPS[: _RUN_END + 1]),
+    ('worker', TASK_STEPS[_RUN_END:]),
+)
 _Steps: TypeAlias = dict[str, int]
 _Numbers: TypeAlias = dict[str, list[int]]
 
@@ -90,22 +98,26 @@
         by_name[event.name].append(number)
     jobs.pop('', None)
     for by_name in jobs.values():
-        yield from _job_edges(by_name)
+        yield from _job_edges(events, by_name)
 
 
 def _task_edges(events: Sequence[Event]) -> Iterator[tuple[int, int]]:
-    tasks: dict[tuple[str, ...], _Steps] = {}
-    for number, event in enumerate(events):
-        if event.name in TASK_STEPS:
-            steps = tasks.setdefault(_task_key(event), {})
-            steps.setdefault(event.name, number)
-    for steps in tasks.values():
-        known = [steps[name] for name in TASK_STEPS if name in steps]
-        yield from itertools.pairwise(known)
+    for field, names in _CHAINS:
+        tasks: dict[tuple[str, str, int], _Steps] = {}
+        for number, event in enumerate(events):
+            if event.name in names:
+                for key in _task_keys(event, field):
+                    tasks.setdefault(key, {}).setdefault(event.name, number)
+        for steps in tasks.values():
+            known = [steps[name] for name in names if name in steps]
+            yield from itertools.pairwise(known)
 
 
-def _task_key(event: Event) -> tuple[str, ...]:
-    return tuple(event.fields.get(key, '') for key in _TASK_FIELDS)
+def _task_keys(event: Event, field: str) -> Iterator[tuple[str, str, int]]:
+    job = event.fields.get('job', '')
+    group = event.fields.get(field, '')
+    for index in parse_index_text(event.fields.get('tasks', '')):
+        yield job, group, index
 
 
 def _process_edges(events: Sequence[Event]) -> Iterator[tuple[int, int]]:
@@ -116,10 +128,22 @@
         yield from itertools.pairwise(numbers)
 
 
-def _job_edges(by_name: _Numbers) -> Iterator[tuple[int, int]]:
-    for claim in by_name.get(JOB_CLAIMED, [])[:1]:
-        for start in by_name.get(TASK_START_SENT, []):
-            yield claim, start
-    for answer in by_name.get(JOB_ANSWERED, [])[-1:]:
-        for outcome in by_name.get(TASK_STEPS[-1], []):
-            yield outcome, answer
+def _job_edges(
+    events: Sequence[Event],
+    by_name: _Numbers,
+) -> Iterator[tuple[int, int]]:
+    """Put a forwarded answer behind the answer of the job's owner.
+
+    The claim and the steps of one owner are in one log. Only a complete
+    answer is certain to come from the owner.
+    """
+    owners = {events[claim].process for claim in by_name.get(JOB_CLAIMED, [])}
+    complete = [
+        answer
+        for answer in by_name.get(JOB_ANSWERED, [])
+        if events[answer].fields.get('status') == _COMPLETE
+    ]
+    given = [answer for answer in complete if events[answer].process in owners]
+    for answer in complete:
+        if given and events[answer].process not in owners:
+            yield given[0], answer
--- a/tests/timeline/test_order.py
+++ b/tests/timeline/test_order.py
@@ -14,6 +14,7 @@
     JOB_CLAIMED,
     TASK_STEPS,
 )
+from borageward.telemetry.steps import index_text, parse_index_text
 from borageward.timeline import causal_order, read_events
 
 _JOB = '0193aaaa-0000-7000-8000-000000000001'
@@ -33,7 +34,7 @@
         on_guard = name in _ON_GUARD
         fields = {}
         if name in TASK_STEPS:
-            fields = {'task': 0, 'attempt': 1, 'worker': 'worker-01'}
+            fields = {'tasks': '0-3', 'attempt': 1, 'worker': 'worker-01'}
         stamp_us = 1_000_000 * (1000 + number) + skew_us * on_guard
         process = 'guard-01' if on_guard else 'entry-1'
         lines = guard if on_guard else entry
@@ -55,10 +56,56 @@
     assert names == list(_STEPS)
 
 
+def test_forwarded_answer_follows_the_owner(tmp_path):
+    """Guards against a forwarded answer shown before the owner's answer."""
+    paths = tmp_path / 'first.log', tmp_path / 'owner.log'
+    paths[0].write_text(_line('entry-1', 1, JOB_ANSWERED, status=200))
+    paths[1].write_text(
+        '\n'.join(
+            [
+                _line('entry-2', 5, JOB_CLAIMED),
+                _line('entry-2', 7, JOB_ANSWERED, status=200),
+            ],
+        ),
+    )
+    ordered = causal_order(read_events(paths).events)
+    assert [event.process for event in ordered] == [
+        'entry-2',
+        'entry-2',
+        'entry-1',
+    ]
+
+
+def test_repeated_results_keep_the_order(tmp_path):
+    """Guards against a result received twice that breaks the whole order."""
+    names = (*_STEPS, TASK_STEPS[-1])
+    path = tmp_path / 'all.log'
+    path.write_text(
+        '\n'.join(
+            _line('p', 1, name, tasks=0, worker='w', status=200)
+            for name in names
+        ),
+    )
+    ordered = causal_order(read_events((path,)).events)
+    assert [event.name for event in ordered] == list(names)
+
+
+@pytest.mark.parametrize('text', ['0-9999999', '0-999999', '3-', '5-1', 'x'])
+def test_damaged_task_list_names_no_task(text):
+    """Guards against a damaged line that fills the memory."""
+    assert not parse_index_text(text)
+
+
+@pytest.mark.parametrize('indexes', [(0,), (0, 1, 2, 9), tuple(range(150))])
+def test_task_list_is_read_back(indexes):
+    """Guards against tasks that are lost between a log and its timeline."""
+    assert parse_index_text(index_text(indexes)) == indexes
+
+
 def test_contradicting_logs_keep_all_events(tmp_path):
     """Guards against events lost, or no end, for logs that form a cycle."""
     lines = [
-        _line('entry-1', 100 - number, name, task=0, attempt=1)
+        _line('entry-1', 100 - number, name, tasks=0, attempt=1)
         for number, name in enumerate(reversed(TASK_STEPS))
     ]
     random.Random(20261204).shuffle(lines)
