--- a/src/borageward/daemon/process.py
+++ b/src/borageward/daemon/process.py
@@ -29,7 +29,7 @@
 
 async def run_process(settings: Settings) -> Failure | None:
     """Run the roles of the settings until a stop signal arrives."""
-    open_log(settings.log.path)
+    open_log(settings.log.path, settings.log.level)
     log = EventLog(place=settings.place, process=process_name(settings))
     failure: Failure | None = None
     with trio.open_signal_receiver(*_STOP_SIGNALS) as signals:
