--- a/src/borageward/entry/desk.py
+++ b/src/borageward/entry/desk.py
@@ -9,6 +9,8 @@
 from borageward.entry.job import Job
 from borageward.entry.jobrun import JobRun, RunContext, recorded_failure
 from borageward.entry.openjobs import OpenJobs
+from borageward.entry.querysource import EntryParts, EntryQuerySource
+from borageward.entry.refusals import RecentRefusals
 from borageward.entry.request import JobRequest
 from borageward.configuration import Configuration, initial_configuration
 from borageward.failures import Failure, FailureReason, RunState
@@ -37,6 +39,7 @@
         self._policy = policy
         self._context = context
         self._configuration = initial_configuration()
+        self._refusals = RecentRefusals()
         self._nursery: trio.Nursery | None = None
         self._closing = False
         self._idle = trio.Event()
@@ -51,6 +54,20 @@
         """Return the configuration in use."""
         return self._configuration
 
+    def query_source(self, name: str, place: str) -> EntryQuerySource:
+        """Return what queries show of the entry with a name and place."""
+        return EntryQuerySource(
+            EntryParts(
+                name,
+                place,
+                self._context.clock,
+                self._jobs,
+                self._refusals,
+                self._context.dispatcher.settlement.links,
+                self._context.gate,
+            ),
+        )
+
     async def start(self, nursery: trio.Nursery) -> None:
         """Run jobs in the nursery."""
         self._nursery = nursery
@@ -75,6 +92,8 @@
             return known
         refusal = self._admit(request)
         if refusal is not None:
+            now_ms = self._context.clock.now_ms()
+            self._refusals.add(request, refusal.reason, now_ms)
             return await self._refuse(request.job_id, refusal)
         return await self._open(request).wait_answered()
 
--- a/src/borageward/entry/guardlink.py
+++ b/src/borageward/entry/guardlink.py
@@ -23,6 +23,7 @@
     EntryToGuard,
     Fence,
     Fenced,
+    GuardLoad,
     GuardToEntry,
     Hello,
     Settle,
@@ -77,6 +78,7 @@
     """Connects to a guard until control has ended its incarnation.
 
     ``open_tasks`` holds the tasks posted or sent and not yet resolved.
+    ``load`` is the last report of the guard, at the time ``load_ms``.
     """
 
     def __init__(
@@ -91,6 +93,8 @@
         self.pins = 0
         self.open_tasks: dict[JobId, set[int]] = {}
         self.welcome: Welcome | None = None
+        self.load: GuardLoad | None = None
+        self.load_ms: Milliseconds = 0
         self.acknowledgements = Acknowledgements(self.post)
         self._context = context
         self._outbox: deque[EntryToGuard] = deque()
--- a/src/borageward/entry/http.py
+++ b/src/borageward/entry/http.py
@@ -18,6 +18,7 @@
 from borageward.entry.request import decode_request
 from borageward.failures import Failure, FailureReason
 from borageward.identity import parse_job_id
+from borageward.language import QuerySource, answer_request
 from borageward.telemetry import EventLog, Metrics
 
 Scope: TypeAlias = MutableMapping[str, Any]
@@ -27,6 +28,9 @@
 
 MAX_DEADLINE_MS = 600_000.0
 
+MAX_QUERY_BYTES = 16_384
+
+_QUERY = '/v1/query'
 _JOBS = '/v1/jobs'
 _JOB_PREFIX = '/v1/jobs/'
 _JSON = (b'content-type', b'application/json')
@@ -38,12 +42,14 @@
     def __init__(
         self,
         desk: JobDesk,
+        source: QuerySource,
         other: Application,
         log: EventLog,
         metrics: Metrics,
     ) -> None:
         """Prepare the application; ``other`` serves all other paths."""
         self._desk = desk
+        self._source = source
         self._other = other
         self._log = log
         self._metrics = metrics
@@ -102,6 +108,10 @@
             return _wrong_method()
         if path.startswith(_JOB_PREFIX):
             return await self._one_job(method, path[len(_JOB_PREFIX) :])
+        if path == _QUERY:
+            if method == 'POST':
+                return await self._query(scope, receive)
+            return _wrong_method()
         if path == '/healthz':
             return Answer(HTTPStatus.OK, b'{"state":"ok"}')
         if path == '/readyz':
@@ -119,6 +129,16 @@
             # A caller that waits for a known job holds its body too.
             return await self._desk.submit(request)
 
+    async def _query(self, scope: Scope, receive: Receive) -> Answer:
+        limit = MAX_QUERY_BYTES
+        async with self._bodies.read(scope, receive, limit) as body:
+            if isinstance(body, Failure):
+                return refused_answer(None, body)
+            document = answer_request(body, self._source)
+            if isinstance(document, Failure):
+                return refused_answer(None, document)
+            return Answer(HTTPStatus.OK, document)
+
     async def _one_job(self, method: str, text: str) -> Answer:
         job_id = parse_job_id(text)
         if isinstance(job_id, Failure):
--- a/src/borageward/entry/openapi.py
+++ b/src/borageward/entry/openapi.py
@@ -7,6 +7,7 @@
 from quart_trio import QuartTrio
 
 from borageward.entry.request import MAX_DEPTH, MAX_TASKS
+from borageward.language.service import MAX_ROWS
 
 _JSON = 'application/json'
 _TYPE = 'type'
@@ -49,6 +50,7 @@
                 'get': _operation('Read the state or the answer of a job.'),
                 'delete': _operation('Cancel a job.'),
             },
+            '/v1/query': {'post': _query()},
             '/healthz': {'get': _health('The process runs.')},
             '/readyz': {'get': _health('The entry takes new jobs.')},
         },
@@ -65,6 +67,24 @@
     return operation
 
 
+def _query() -> dict[str, Any]:
+    operation = _operation('Show jobs or workers of this entry.')
+    schema = {
+        _TYPE: 'object',
+        'additionalProperties': False,
+        'required': ['sentence'],
+        'properties': {
+            'sentence': {_TYPE: 'string'},
+            'limit': {_TYPE: 'integer', 'minimum': 1, 'maximum': MAX_ROWS},
+        },
+    }
+    operation['requestBody'] = {
+        'required': True,
+        'content': {_JSON: {'schema': schema}},
+    }
+    return operation
+
+
 def _operation(summary: str) -> dict[str, Any]:
     responses = {
         status: {'description': text} for status, text in _REFUSALS.items()
--- a/src/borageward/entry/service.py
+++ b/src/borageward/entry/service.py
@@ -87,6 +87,7 @@
         )
         self._application = HttpApplication(
             self._core.desk,
+            self._core.desk.query_source(settings.name, place),
             access.operators or quart_application(),  # type: ignore[arg-type]
             log,
             metrics,
--- a/src/borageward/entry/settlement.py
+++ b/src/borageward/entry/settlement.py
@@ -66,6 +66,7 @@
         welcome = link.welcome
         if welcome is None:
             return
+        self._keep_load(link, welcome.load)
         if link.placeable:
             self.active[link.worker] = link
             self._policy.add_guard(
@@ -316,7 +317,12 @@
                 found.append((job, job.tasks[index]))
         return found
 
+    def _keep_load(self, link: GuardLink, load: GuardLoad) -> None:
+        link.load = load
+        link.load_ms = self._clock.now_ms()
+
     def _report_load(self, link: GuardLink, load: GuardLoad) -> None:
+        self._keep_load(link, load)
         if self.active.get(link.worker) is link:
             self._policy.load_reported(link.worker, load)
 
--- a/src/borageward/entry/startgate.py
+++ b/src/borageward/entry/startgate.py
@@ -14,6 +14,10 @@
     def incarnation(self) -> int:
         """Return the incarnation in use, or zero without one."""
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the configuration in use."""
+
     def lease_valid(self) -> bool:
         """Tell whether the revision was confirmed within the lease."""
 
@@ -30,6 +34,11 @@
         """Return the incarnation in use, or zero without one."""
         return self._session.incarnation
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the configuration in use."""
+        return self._session.revision
+
     def is_open(self) -> bool:
         """Tell whether any job may start."""
         return self._session.lease_valid()
--- a/tests/entry/cluster.py
+++ b/tests/entry/cluster.py
@@ -70,6 +70,7 @@
         self.peers = PeerHandler(self.core.desk)
         self.http = HttpApplication(
             self.core.desk,
+            self.core.desk.query_source(name, 'nadi-depot'),
             quart_application(),
             log,
             Metrics(None, ''),
