Use mutual TLS in all roles of the daemon

With mode mutual the daemon refuses to start without valid files, and gives the contexts and gRPC credentials to control, guard and entry. Both ends are authenticated; authorize and authorize_caller are not called yet, so any certificate of the authority may make any request.

--- a/src/borageward/daemon/process.py
+++ b/src/borageward/daemon/process.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from borageward.access import TlsFiles, open_tls
 from borageward.clock import SystemClock
 from borageward.daemon.roles import open_roles
 from borageward.failures import Failure, FailureReason
@@ -29,12 +30,15 @@
 
 async def run_process(settings: Settings) -> Failure | None:
     """Run the roles of the settings until a stop signal arrives."""
+    tls = open_tls(settings.tls)
+    if isinstance(tls, Failure):
+        return tls
     open_log(settings.log.path, settings.log.level)
     log = EventLog(place=settings.place, process=process_name(settings))
     failure: Failure | None = None
     with trio.open_signal_receiver(*_STOP_SIGNALS) as signals:
         try:
-            failure = await _run_roles(settings, log, signals)
+            failure = await _run_roles(settings, log, signals, tls)
         except* OSError as group:
             failure = Failure(
                 FailureReason.STORAGE_FAILED,
@@ -59,9 +63,10 @@
     settings: Settings,
     log: EventLog,
     signals: AsyncIterable[int],
+    tls: TlsFiles | None,
 ) -> Failure | None:
     async with trio.open_nursery() as nursery:
-        roles = open_roles(settings, SystemClock(), log)
+        roles = open_roles(settings, SystemClock(), log, tls)
         failure = await _start_all(roles, nursery)
         if failure is None:
             log.event('process_started')
--- a/src/borageward/daemon/roles.py
+++ b/src/borageward/daemon/roles.py
@@ -8,7 +8,13 @@
 import random
 from typing import TYPE_CHECKING
 
+from borageward.access import TlsFiles
 from borageward.clock import Clock
+from borageward.daemon.credentials import (
+    control_credentials,
+    entry_credentials,
+    guard_credentials,
+)
 from borageward.settings import Settings
 from borageward.telemetry import EventLog, Metrics
 from borageward.transport import Address, parse_address
@@ -17,15 +23,23 @@
     from borageward.daemon.process import Role
 
 
-def open_roles(settings: Settings, clock: Clock, log: EventLog) -> list[Role]:
-    """Return the roles of a process in the order of their start."""
+def open_roles(
+    settings: Settings,
+    clock: Clock,
+    log: EventLog,
+    tls: TlsFiles | None = None,
+) -> list[Role]:
+    """Return the roles of a process in the order of their start.
+
+    Without ``tls`` all links and listeners use plain text.
+    """
     roles: list[Role] = []
     if settings.control is not None:
-        roles.append(_open_control(settings, clock, log))
+        roles.append(_open_control(settings, clock, log, tls))
     if settings.guard is not None:
-        roles.append(_open_guard(settings, clock, log))
+        roles.append(_open_guard(settings, clock, log, tls))
     if settings.entry is not None:
-        roles.append(_open_entry(settings, clock, log))
+        roles.append(_open_entry(settings, clock, log, tls))
     return roles
 
 
@@ -37,14 +51,32 @@
     return Metrics(None, 'borageward')
 
 
-def _open_control(settings: Settings, clock: Clock, log: EventLog) -> Role:
+def _open_control(
+    settings: Settings,
+    clock: Clock,
+    log: EventLog,
+    tls: TlsFiles | None,
+) -> Role:
     from borageward.control import ControlService  # noqa: WPS433
 
     assert settings.control is not None  # noqa: S101 Checked by the caller.
-    return ControlService(settings.control, clock, log)
+    credentials = control_credentials(tls)
+    return ControlService(
+        settings.control,
+        clock,
+        log,
+        credentials.frames,
+        credentials.server,
+        credentials.peers,
+    )
 
 
-def _open_guard(settings: Settings, clock: Clock, log: EventLog) -> Role:
+def _open_guard(
+    settings: Settings,
+    clock: Clock,
+    log: EventLog,
+    tls: TlsFiles | None,
+) -> Role:
     from borageward.guard import GuardService  # noqa: WPS433
     from borageward.policy.class_scheduler import (  # noqa: WPS433
         ClassSlotScheduler,
@@ -52,10 +84,22 @@
 
     assert settings.guard is not None  # noqa: S101 Checked by the caller.
     scheduler = ClassSlotScheduler(settings.guard.slots)
-    return GuardService(settings.guard, settings.place, clock, log, scheduler)
+    return GuardService(
+        settings.guard,
+        settings.place,
+        clock,
+        log,
+        scheduler,
+        guard_credentials(tls),
+    )
 
 
-def _open_entry(settings: Settings, clock: Clock, log: EventLog) -> Role:
+def _open_entry(
+    settings: Settings,
+    clock: Clock,
+    log: EventLog,
+    tls: TlsFiles | None,
+) -> Role:
     from borageward.entry import EntryService  # noqa: WPS433
     from borageward.policy.adaptive_dispatch import (  # noqa: WPS433
         AdaptiveDispatchPolicy,
@@ -70,4 +114,5 @@
         log,
         open_metrics(settings),
         policy,
+        entry_credentials(tls),
     )
