--- a/src/borageward/entry/desk.py
+++ b/src/borageward/entry/desk.py
@@ -9,6 +9,8 @@
 from borageward.entry.job import Job
 from borageward.entry.jobrun import JobRun, RunContext, recorded_failure
 from borageward.entry.openjobs import OpenJobs
+from borageward.entry.querysource import EntryParts, EntryQuerySource
+from borageward.entry.refusals import RecentRefusals
 from borageward.entry.request import JobRequest
 from borageward.configuration import Configuration, initial_configuration
 from borageward.failures import Failure, FailureReason, RunState
@@ -16,6 +18,7 @@
 from borageward.messages.control import ClaimAnswer
 from borageward.messages.entry import CancelJob, ReadJob
 from borageward.policy import DispatchPolicy, JobNeed
+from borageward.telemetry.events import JOB_ANSWERED
 
 # Bodies of all open jobs and results kept for callers stay below this.
 MAX_OPEN_BYTES = 268_435_456
@@ -36,6 +39,7 @@
         self._policy = policy
         self._context = context
         self._configuration = initial_configuration()
+        self._refusals = RecentRefusals()
         self._nursery: trio.Nursery | None = None
         self._closing = False
         self._idle = trio.Event()
@@ -50,6 +54,20 @@
         """Return the configuration in use."""
         return self._configuration
 
+    def query_source(self, name: str, place: str) -> EntryQuerySource:
+        """Return what queries show of the entry with a name and place."""
+        return EntryQuerySource(
+            EntryParts(
+                name,
+                place,
+                self._context.clock,
+                self._jobs,
+                self._refusals,
+                self._context.dispatcher.settlement.links,
+                self._context.gate,
+            ),
+        )
+
     async def start(self, nursery: trio.Nursery) -> None:
         """Run jobs in the nursery."""
         self._nursery = nursery
@@ -74,6 +92,8 @@
             return known
         refusal = self._admit(request)
         if refusal is not None:
+            now_ms = self._context.clock.now_ms()
+            self._refusals.add(request, refusal.reason, now_ms)
             return await self._refuse(request.job_id, refusal)
         return await self._open(request).wait_answered()
 
@@ -178,6 +198,11 @@
     async def _run(self, job: Job) -> None:
         answer = await JobRun(job, self._context).answer()
         self._jobs.remove(job)
+        self._context.log.debug(
+            JOB_ANSWERED,
+            job=job.job_id,
+            status=answer.status,
+        )
         job.publish(answer)
         if not len(self._jobs):
             self._idle.set()
