--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -6,17 +6,18 @@
 import pathlib
 import tempfile
 import time
+from typing import Any
 
 from bench.report import median, percentile, print_table
 from standins.caller import job_body
+from standins.closed_loop import run_closed_loop
 from standins.deployment import Deployment
-from standins.load import ObservedJob, PlannedJob, run_load
 
 _GUARDS = 5
 _SLOTS = 32
 _RUN_MS = 5.0
 _DEADLINE_MS = 60_000
-_LOADS = ((1, 400), (15, 150), (150, 40))
+_LOADS = ((1, 1600), (15, 480), (150, 96))
 _SETTLE_S = 2.0
 
 
@@ -39,7 +40,7 @@
 
 
 def _measure(deployment: Deployment) -> None:
-    run_load(_plan(deployment, 1, 50))
+    run_closed_loop(deployment.entry_addresses[0], _jobs(deployment, 1, 50))
     rows = [_row(deployment, tasks, jobs) for tasks, jobs in _LOADS]
     print_table(
         (
@@ -63,24 +64,21 @@
     jobs: int,
 ) -> tuple[float, ...]:
     before = _cpu(deployment)
-    started = time.monotonic()
-    observed = run_load(_plan(deployment, tasks, jobs))
-    took = time.monotonic() - started
+    loop = run_closed_loop(
+        deployment.entry_addresses[0],
+        _jobs(deployment, tasks, jobs),
+    )
     used = [after - first for after, first in zip(_cpu(deployment), before)]
-    complete = [job for job in observed if job.complete]
+    complete = loop.response_ms
     starts = tasks * len(complete)
     costs = (
         1000 * used[0] / starts,
         1000 * used[1] / starts,
         1000 * used[2] / len(complete),
     )
-    counts = (tasks, jobs, len(complete), starts / took)
-    return (*counts, *_times(complete), *costs)
-
-
-def _times(observed: list[ObservedJob]) -> tuple[float, float]:
-    figures = [job.response_ms for job in observed]
-    return median(figures), percentile(figures)
+    counts = (tasks, jobs, len(complete), starts / loop.took_s)
+    times = (median(complete), percentile(complete))
+    return (*counts, *times, *costs)
 
 
 def _cpu(deployment: Deployment) -> tuple[float, float, float]:
@@ -90,15 +88,14 @@
     return entry, guards, control
 
 
-def _plan(deployment: Deployment, tasks: int, jobs: int) -> list[PlannedJob]:
-    """Return all jobs at once; the connection limit of the client paces."""
+def _jobs(
+    deployment: Deployment,
+    tasks: int,
+    jobs: int,
+) -> list[dict[str, Any]]:
     run_times = list(itertools.repeat(_RUN_MS, tasks))
     return [
-        PlannedJob(
-            0,
-            deployment.entry_addresses[0],
-            job_body(deployment.service, run_times, _DEADLINE_MS),
-        )
+        job_body(deployment.service, run_times, _DEADLINE_MS)
         for _ in range(jobs)
     ]
 
