Split membership and revisions from the control messages

Change: membership and revision messages have modules of their own; the control module re-exports them for its union of requests.

--- a/src/borageward/messages/control.py
+++ b/src/borageward/messages/control.py
@@ -12,7 +12,78 @@
 import msgspec
 
 from borageward.messages.base import Message, Rejected
-from borageward.messages.configuration import ConfigurationChange
+from borageward.messages.members import (
+    EndIncarnation,
+    EntryMember,
+    GuardMember,
+    GuardsSince,
+    Heartbeat,
+    HeartbeatReply,
+    Membership,
+    Registered,
+    RegisterEntry,
+    RegisterGuard,
+    Watch,
+)
+from borageward.messages.revisions import (
+    Applied,
+    ApplyChange,
+    Approve,
+    ConfigurationRead,
+    History,
+    HistoryItem,
+    InForce,
+    ReadConfiguration,
+    ReadHistory,
+    ReadInForce,
+    RevisionConflict,
+)
+
+
+__all__ = (
+    'AddLearner',
+    'Applied',
+    'ApplyChange',
+    'Approve',
+    'Claim',
+    'ClaimAnswer',
+    'ClaimRequest',
+    'ClaimState',
+    'Claimed',
+    'ConfigurationRead',
+    'ControlReply',
+    'ControlRequest',
+    'ControlStatus',
+    'Done',
+    'EndIncarnation',
+    'EntryMember',
+    'FindClaims',
+    'Finish',
+    'Finished',
+    'GuardMember',
+    'GuardsSince',
+    'Heartbeat',
+    'HeartbeatReply',
+    'History',
+    'HistoryItem',
+    'InForce',
+    'JobFinish',
+    'Membership',
+    'OutcomeKind',
+    'PromoteVoter',
+    'ReadConfiguration',
+    'ReadControl',
+    'ReadHistory',
+    'ReadInForce',
+    'RegisterEntry',
+    'RegisterGuard',
+    'Registered',
+    'Rejected',
+    'RemoveVoter',
+    'RevisionConflict',
+    'TakeOver',
+    'Watch',
+)
 
 
 class OutcomeKind(enum.Enum):
@@ -115,232 +186,10 @@
     recorded: tuple[bool, ...]
 
 
-class RegisterEntry(Message, frozen=True):
-    """Start an entry incarnation. The same nonce gives the same number."""
-
-    nonce: bytes
-    name: str
-    place: str
-    link_address: str
-    http_address: str
-
-
-class RegisterGuard(Message, frozen=True):
-    """Start a guard incarnation. The same nonce gives the same number."""
-
-    nonce: bytes
-    worker: str
-    place: str
-    service: str
-    endpoint: str
-    link_address: str
-    slots: int
-
-
-class Registered(Message, frozen=True):
-    """Incarnation given to a process, with the configuration in force.
-
-    ``ended`` lists every ended entry incarnation in retention, so that a new
-    guard fences them before its first start.
-    """
-
-    incarnation: int
-    revision: int
-    configuration: bytes
-    ended: tuple[int, ...] = ()
-    ended_through: int = 0
-
-
-class Heartbeat(Message, frozen=True):
-    """Renew the lease of an incarnation and confirm a revision.
-
-    ``ended_after`` is the last ended incarnation position that the process
-    has seen; the reply lists those after it.
-    """
-
-    incarnation: int
-    revision: int
-    ended_after: int
-    leaving: bool = False
-    free_slots: int = 0
-
-
-class HeartbeatReply(Message, frozen=True):
-    """Confirms the lease with the newest revision.
-
-    ``configuration`` is JSON and empty when the process is up to date.
-    ``ended`` lists entry incarnations that ended; ``ended_through`` is the
-    position to send in the next heartbeat.
-    """
-
-    revision: int
-    configuration: bytes
-    ended: tuple[int, ...]
-    ended_through: int
-    live_entries: int
-
-
-class EndIncarnation(Message, frozen=True):
-    """End an incarnation, by the process itself after its last answer."""
-
-    incarnation: int
-
-
 class Done(Message, frozen=True):
     """The request took effect."""
 
 
-class GuardMember(msgspec.Struct, frozen=True, array_like=True):
-    """One guard incarnation as control knows it.
-
-    ``started_at`` and ``ended_at`` are log positions; ``ended_at`` is zero
-    while the incarnation lives.
-    """
-
-    incarnation: int
-    worker: str
-    place: str
-    service: str
-    endpoint: str
-    link_address: str
-    slots: int
-    leaving: bool = False
-    started_at: int = 0
-    ended_at: int = 0
-
-
-class EntryMember(msgspec.Struct, frozen=True, array_like=True):
-    """One entry incarnation as control knows it."""
-
-    incarnation: int
-    name: str
-    place: str
-    link_address: str
-    http_address: str
-    started_at: int = 0
-    ended_at: int = 0
-
-
-class Watch(Message, frozen=True):
-    """Long poll for membership changes after a version.
-
-    ``wait_ms`` bounds how long control holds the request.
-    """
-
-    after_version: int
-    wait_ms: float
-
-
-class Membership(Message, frozen=True):
-    """Members that changed after the version that was asked for.
-
-    With ``full`` the lists hold every member in retention.
-    """
-
-    version: int
-    full: bool
-    guards: tuple[GuardMember, ...]
-    entries: tuple[EntryMember, ...]
-
-
-class GuardsSince(Message, frozen=True):
-    """Ask for every guard incarnation that lived at or after a position."""
-
-    position: int
-
-
-class ApplyChange(Message, frozen=True):
-    """Compare-and-set of the configuration.
-
-    ``plan_digest`` is the digest of the exact plan text that was approved, or
-    empty. ``plan_text`` is that text; it states the change, so that control
-    can tell whether the approval covers the change. The same command id gets
-    its first outcome again.
-    """
-
-    command_id: bytes
-    base_revision: int
-    change: ConfigurationChange
-    author: str
-    reason: str
-    plan_digest: bytes = b''
-    plan_text: str = ''
-
-
-class Approve(Message, frozen=True):
-    """Record an approval of a plan by its digest."""
-
-    command_id: bytes
-    plan_digest: bytes
-    base_revision: int
-    approver: str
-
-
-class Applied(Message, frozen=True):
-    """The change is durable as this revision."""
-
-    revision: int
-
-
-class RevisionConflict(Message, frozen=True):
-    """Another change won; tells whose and when."""
-
-    revision: int
-    author: str
-    reason: str
-    applied_wall_ms: int
-
-
-class ReadConfiguration(Message, frozen=True):
-    """Read the configuration; zero means the newest revision."""
-
-    revision: int = 0
-
-
-class HistoryItem(msgspec.Struct, frozen=True, array_like=True):
-    """One change in the history: who, when, why."""
-
-    revision: int
-    author: str
-    approver: str
-    reason: str
-    wall_ms: int
-    change: ConfigurationChange | None
-
-
-class ConfigurationRead(Message, frozen=True):
-    """Configuration of a revision as JSON."""
-
-    revision: int
-    configuration: bytes
-
-
-class ReadHistory(Message, frozen=True):
-    """Read the newest changes, newest first."""
-
-    limit: int
-
-
-class History(Message, frozen=True):
-    """Changes, newest first."""
-
-    history: tuple[HistoryItem, ...]
-
-
-class ReadInForce(Message, frozen=True):
-    """Ask which live processes have not confirmed a revision."""
-
-    revision: int
-
-
-class InForce(Message, frozen=True):
-    """Processes that have not confirmed the revision; none: in force."""
-
-    revision: int
-    pending: tuple[str, ...]
-    confirmed: int
-
-
 class AddLearner(Message, frozen=True):
     """Add a replica without a vote."""
 
