Test that a thawed leader answers no stale read

Cause: breaking Leadership._is_confirmed (a read without a confirmed majority) failed no test. Change: a leader is frozen and cut off, another commits a change, and reads that wait at the frozen one must not return the past when it thaws.

--- a/tests/control/test_repair.py
+++ b/tests/control/test_repair.py
@@ -8,7 +8,7 @@
 from borageward.failures import Failure, FailureReason
 from borageward.messages import control as messages
 from borageward.messages.configuration import SetLimit
-from tests.control.fakes import Cluster, Medium
+from tests.control.fakes import Cluster, FakePeer, Medium
 from tests.control.workload import TIMEOUT_MS, Workload
 
 ADDRESS = '127.0.0.1:1'
@@ -169,3 +169,52 @@
         assert [item.worker for item in since.guards] == ['w']
 
     run(scenario)
+
+
+def test_thawed_leader_answers_no_stale_read():
+    """Guards against a read from a leader that lost its majority."""
+
+    async def scenario(cluster, workload):
+        await apply_changes(workload, 1)
+        former = cluster.leader()
+        cluster.network.isolate(former.voter_id, outbound=False)
+        former.gate.freeze()
+        successor = await wait_successor(cluster, former)
+        await apply_one(cluster, successor, 1)
+        async with trio.open_nursery() as readers:
+            for delay_ms in range(0, 100, 5):
+                readers.start_soon(read_fresh, cluster, former, delay_ms)
+            # Half of the reads wait at the frozen process when it thaws.
+            await trio.sleep(0.05)
+            former.gate.thaw()
+
+    run(scenario)
+
+
+async def wait_successor(cluster, former):
+    """Return another leader; a frozen one still believes that it leads."""
+    while True:
+        for process in cluster:
+            if process is not former and process.node.leader_term:
+                return process
+        await trio.sleep(0.05)
+
+
+async def apply_one(cluster, process, base):
+    """Apply a change at one replica until it is acknowledged."""
+    request = messages.ApplyChange(
+        b'late', base, SetLimit('max_open_jobs', 7), 'o', 'r'
+    )
+    link = FakePeer(cluster.network, 'client', process.voter_id)
+    while await link.call(request, TIMEOUT_MS) != messages.Applied(base + 1):
+        await trio.sleep(0.05)
+
+
+async def read_fresh(cluster, process, delay_ms):
+    """Read from one replica, which may refuse but not answer the past."""
+    await trio.sleep(delay_ms / 1000)
+    cluster.network.blocked.discard(('client', process.voter_id))
+    link = FakePeer(cluster.network, 'client', process.voter_id)
+    reply = await link.call(messages.ReadConfiguration(), TIMEOUT_MS)
+    if isinstance(reply, messages.ConfigurationRead):
+        assert reply.revision == 2
