Stop the processes of a test whose set-up fails

Cause: processes of a deployment that did not start were still running an hour later, because the fixture closed only what it had yielded. Change: the fixture closes the deployment on every path.

--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -58,6 +58,8 @@
 def session(tmp_path):
     """Three control replicas, two entries and three guards."""
     opened = Session(Deployment(tmp_path, controls=3, entries=2, guards=3))
-    opened.deployment.start()
-    yield opened
-    opened.close()
+    try:
+        opened.deployment.start()
+        yield opened
+    finally:
+        opened.close()
