Serve sooner after all processes have started again

A leader was found 0.7 s after the replicas had started; entries asked for the manifest each 250 ms and waited 600 ms for a replica that was still down; meanwhile they answered 503, which ends a job; and with the manifest but no guard yet they refused jobs as overloaded (cores=0).

Change: a replica that has just started waits 0.3 to 0.8 of the election timeout, since the others refuse a trial vote while they hear a leader. Entries and guards that have just started ask control each 50 to 150 ms with a time limit of 200 ms. A caller waits up to 1 s for the first manifest, and an entry refuses nothing in its first 2 s. A replica loads the language of operators only when a plan is approved.

Ruled out: taking the manifest from a replica before a leader is known; it could be one that was never acknowledged.

--- a/src/borageward/control/consensus/election.py
+++ b/src/borageward/control/consensus/election.py
@@ -15,6 +15,11 @@
 # little later than this replica did.
 _RETRY_MIN_SHARE = 0.1
 _RETRY_MAX_SHARE = 0.5
+# A replica that has just started waits for less than the election timeout, but
+# for longer than a leader needs to reach it. If a leader is alive, the others
+# hear it and refuse the trial vote.
+_FIRST_MIN_SHARE = 0.3
+_FIRST_MAX_SHARE = 0.8
 # A remainder lost to rounding must not become a loop that never sleeps.
 _MIN_SLEEP_MS = 1.0
 _MS_PER_SECOND = 1000.0
@@ -29,9 +34,14 @@
         self._links = links
         self._options = context.options
 
-    async def run(self) -> None:
-        """Return once this replica has won an election."""
+    async def run(self, *, starting: bool = False) -> None:
+        """Return once this replica has won an election.
+
+        ``starting`` tells that the replica has not heard of any leader yet.
+        """
         timeout_ms = self._election_timeout_ms()
+        if starting:
+            timeout_ms = min(timeout_ms, self._first_timeout_ms())
         while True:
             await self._wait_for_silence(timeout_ms)
             if await self._stand():
@@ -45,13 +55,15 @@
         base_ms = self._options.election_timeout_ms
         return self._options.source.uniform(base_ms, 2 * base_ms)
 
+    def _first_timeout_ms(self) -> Milliseconds:
+        return self._share_of_timeout_ms(_FIRST_MIN_SHARE, _FIRST_MAX_SHARE)
+
     def _retry_timeout_ms(self) -> Milliseconds:
-        base_ms = self._options.election_timeout_ms
-        share = self._options.source.uniform(
-            _RETRY_MIN_SHARE,
-            _RETRY_MAX_SHARE,
-        )
-        return base_ms * share
+        return self._share_of_timeout_ms(_RETRY_MIN_SHARE, _RETRY_MAX_SHARE)
+
+    def _share_of_timeout_ms(self, least: float, most: float) -> Milliseconds:
+        share = self._options.source.uniform(least, most)
+        return self._options.election_timeout_ms * share
 
     async def _wait_for_silence(self, timeout_ms: Milliseconds) -> None:
         """Wait until nothing was heard of a leader for a timeout."""
--- a/src/borageward/control/consensus/node.py
+++ b/src/borageward/control/consensus/node.py
@@ -202,9 +202,10 @@
 
     async def _take_part(self) -> None:
         await Introduction(self._context, self._links).run()
+        await Election(self._context, self._links).run(starting=True)
         while True:
-            await Election(self._context, self._links).run()
             await self._lead()
+            await Election(self._context, self._links).run()
 
     async def _lead(self) -> None:
         self._leadership = Leadership(
--- a/src/borageward/control/state/revisions.py
+++ b/src/borageward/control/state/revisions.py
@@ -21,7 +21,6 @@
 )
 from borageward.failures import Failure, FailureReason
 from borageward.identity import body_digest
-from borageward.language.plan import plan_covers
 from borageward.messages.base import Rejected
 from borageward.messages.control import (
     Applied,
@@ -162,6 +161,9 @@
                 FailureReason.APPROVAL_REQUIRED,
                 'this plan is not approved for the newest revision',
             )
+        # Loading the language takes a third of a replica's start.
+        from borageward.language.plan import plan_covers  # noqa: WPS433
+
         if not plan_covers(request):
             return Rejected(
                 FailureReason.APPROVAL_MISMATCH,
--- a/src/borageward/dispatch/directory.py
+++ b/src/borageward/dispatch/directory.py
@@ -15,6 +15,10 @@
 
 _POLL_INTERVAL_MS = 250.0
 _POLL_TIMEOUT_MS = 600.0
+# An entry that has just started asks more often: it serves nobody before it has
+# a manifest and guards.
+_FIRST_POLL_INTERVAL_MS = 50.0
+_FIRST_POLL_TIMEOUT_MS = 200.0
 # A guard that no replica lists is kept while its link may still come back.
 _GUARD_RETENTION_MS = 20_000.0
 
@@ -72,7 +76,7 @@
             view = await self._calls.call(
                 address,
                 FetchView(known, version),
-                _POLL_TIMEOUT_MS,
+                self._timeout_ms(),
             )
             if isinstance(view, ClusterView):
                 version = view.guards_version
@@ -81,7 +85,20 @@
                 answered = not answered
                 name = 'replica_regained' if answered else 'replica_lost'
                 self._log.event(name, replica=address)
-            await self._clock.sleep_ms(_POLL_INTERVAL_MS)
+            await self._clock.sleep_ms(self._interval_ms())
+
+    def _interval_ms(self) -> Milliseconds:
+        if self._is_complete():
+            return _POLL_INTERVAL_MS
+        return _FIRST_POLL_INTERVAL_MS
+
+    def _timeout_ms(self) -> Milliseconds:
+        if self._is_complete():
+            return _POLL_TIMEOUT_MS
+        return _FIRST_POLL_TIMEOUT_MS
+
+    def _is_complete(self) -> bool:
+        return self._manifest is not None and bool(self._guards)
 
     def _take(self, address: str, view: ClusterView) -> None:
         self.add_seeds(view.replicas)
--- a/src/borageward/dispatch/dispatcher.py
+++ b/src/borageward/dispatch/dispatcher.py
@@ -24,6 +24,9 @@
 
 # A round looks at this many tasks beyond the first one without an endpoint.
 _LOOK_AHEAD = 24
+# An entry that has just started does not know all endpoints yet, so it cannot
+# tell how long a job would wait.
+_STARTING_MS = 2000.0
 _MILLI = 1000
 
 
@@ -52,6 +55,7 @@
         self._clock = clock
         self._log = log
         self._jobs: dict[str, Job] = {}
+        self._started_ms = clock.now_ms()
         self._wake = trio.Event()
 
     @property
@@ -151,6 +155,8 @@
         if job.ordered:
             return False
         now_ms = self._clock.now_ms()
+        if now_ms - self._started_ms < _STARTING_MS:
+            return False
         return should_refuse(job.goal, job.chain_ms, backlog, now_ms)
 
     def _refuse(self, job: Job, backlog: Backlog) -> None:
--- a/src/borageward/dispatch/service.py
+++ b/src/borageward/dispatch/service.py
@@ -23,6 +23,8 @@
 _NONCE_BYTES = 8
 _MS_PER_SECOND = 1000.0
 _RETRY_AFTER_MS = 1000.0
+# A caller that comes while the entry starts waits this long for the manifest.
+_MANIFEST_WAIT_MS = 1000.0
 
 CallerFactory = Callable[[trio.Nursery], ReplicaCaller]
 
@@ -50,6 +52,7 @@
         self._nursery: trio.Nursery | None = None
         self._routes = QueueRoutes()
         self._version = 0
+        self._has_manifest = trio.Event()
         self._scope = trio.CancelScope()
 
     @property
@@ -57,6 +60,12 @@
         """Return the queues, or nothing before the first manifest."""
         return self._routes if self._version else None
 
+    async def wait_routes(self) -> QueueRoutes | None:
+        """Return the queues, or nothing when they stay unknown for a while."""
+        with trio.move_on_after(_MANIFEST_WAIT_MS / _MS_PER_SECOND):
+            await self._has_manifest.wait()
+        return self.routes
+
     @property
     def open_jobs(self) -> int:
         """Return the number of jobs in progress."""
@@ -174,6 +183,7 @@
         if manifest is not None and manifest.version != self._version:
             self._version = manifest.version
             self._routes = QueueRoutes(manifest.queues)
+            self._has_manifest.set()
         self._fleet.follow(directory.guards, self._nursery)
         self._dispatcher.wake()
 
--- a/src/borageward/runs/announcer.py
+++ b/src/borageward/runs/announcer.py
@@ -14,6 +14,8 @@
 _INTERVAL_MS = 1000.0
 _FIRST_INTERVAL_MS = 150.0
 _TIMEOUT_MS = 700.0
+# A replica that was down when it was first called is called again soon.
+_FIRST_TIMEOUT_MS = 200.0
 
 
 class GuardAnnouncer:
@@ -45,7 +47,8 @@
     async def _announce(self, address: str) -> None:
         answered = False
         while True:
-            reply = await self._calls.call(address, self._request, _TIMEOUT_MS)
+            timeout_ms = _TIMEOUT_MS if answered else _FIRST_TIMEOUT_MS
+            reply = await self._calls.call(address, self._request, timeout_ms)
             if isinstance(reply, Announced):
                 self.add_seeds(reply.replicas)
             if isinstance(reply, Announced) != answered:
--- /dev/null
+++ b/tests/control/test_first_election.py
@@ -0,0 +1,70 @@
+"""First election after all replicas have started at once."""
+
+from __future__ import annotations
+
+import statistics
+
+import trio
+from trio.testing import MockClock
+
+from tests.control.fakes import Cluster
+
+SEEDS = range(10)
+# Callers can be served once there is a leader. The share of the election
+# timeout (500 ms) that a starting replica waits, and two rounds of votes.
+MEDIAN_MS = 400
+LONGEST_MS = 900
+
+
+def run(scenario, *args):
+    """Run a scenario in virtual time."""
+    return trio.run(scenario, *args, clock=MockClock(autojump_threshold=0))
+
+
+async def leader_after_restart(seed):
+    """Return the time from the restart of all replicas to a leader."""
+    async with trio.open_nursery() as nursery:
+        cluster = Cluster(nursery, seed=seed)
+        await cluster.start()
+        await cluster.wait_leader()
+        for process in cluster:
+            process.kill()
+        await trio.sleep(1)
+        started = trio.current_time()
+        for process in cluster:
+            await process.start()
+        while cluster.leader() is None:
+            await trio.sleep(0.005)
+        took_ms = (trio.current_time() - started) * 1000
+        nursery.cancel_scope.cancel()
+    return took_ms
+
+
+async def restart_beside_a_leader(seed):
+    """Return whether the leader stays while a follower starts again."""
+    async with trio.open_nursery() as nursery:
+        cluster = Cluster(nursery, seed=seed)
+        await cluster.start()
+        leader = await cluster.wait_leader()
+        await trio.sleep(2)
+        term = leader.node.leader_term
+        follower = next(item for item in cluster if item is not leader)
+        follower.kill()
+        await trio.sleep(0.2)
+        await follower.start()
+        await trio.sleep(3)
+        stayed = leader.node.leader_term == term
+        nursery.cancel_scope.cancel()
+    return stayed
+
+
+def test_leader_is_found_soon_after_a_common_restart():
+    """Guards against callers that wait for a whole election timeout."""
+    took_ms = [run(leader_after_restart, seed) for seed in SEEDS]
+    assert statistics.median(took_ms) < MEDIAN_MS
+    assert max(took_ms) < LONGEST_MS
+
+
+def test_starting_replica_does_not_unseat_the_leader():
+    """Guards against an election each time a replica starts again."""
+    assert all(run(restart_beside_a_leader, seed) for seed in SEEDS)
--- a/tests/dispatch/test_directory.py
+++ b/tests/dispatch/test_directory.py
@@ -123,3 +123,12 @@
     replicas.views['a'] = view(guards=(guard('x'),))
     await trio.sleep(30)
     assert set(directory.guards) == {'x'}
+
+
+async def test_first_manifest_is_taken_soon(directory_of, autojump_clock):
+    """Guards against callers that wait for an entry that has started."""
+    replicas = Replicas(a=view(guards=(guard('x'),)))
+    directory = await directory_of(replicas)
+    replicas.views['a'] = view(3, guards=(guard('x'),))
+    await trio.sleep(0.1)
+    assert directory.manifest.version == 3
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -89,6 +89,11 @@
     return start
 
 
+async def starting_is_over():
+    """Wait until an entry may know all of its endpoints."""
+    await trio.sleep(2.1)
+
+
 def job(job_id='job', count=1, priority=0, estimate_ms=100, deadline_ms=2000):
     """Return a job of one step."""
     queue = Queue('q', 'host', '/q/', 'pool', priority, 2, 1.6, 60, 1500)
@@ -109,6 +114,7 @@
 async def test_refused_job_was_never_ordered(dispatching, autojump_clock):
     """Guards against a refusal of work that may have run."""
     dispatcher, fleet = dispatching(Link('a', Demand()))
+    await starting_is_over()
     jobs = [job(f'job-{number}', count=8) for number in range(12)]
     for item in jobs:
         dispatcher.add(item)
@@ -187,3 +193,15 @@
     await trio.sleep(0.01)
     _, ref = fleet.orders[0]
     assert ref.task.job_id == 'short'
+
+
+async def test_entry_that_has_just_started_refuses_nothing(
+    dispatching, autojump_clock
+):
+    """Guards against refusals before the endpoints are known."""
+    dispatcher, _ = dispatching()
+    jobs = [job(f'job-{number}', count=8) for number in range(12)]
+    for item in jobs:
+        dispatcher.add(item)
+    await trio.sleep(0.5)
+    assert all(item.outcome is None for item in jobs)
