End runs with the lease of a silent endpoint; open sessions at once

Cause: a guard that starts asked an idle endpoint for its lists with a wait of 1.8 s, so entries got no session before the lapse of 1.1 s. While orders stay unanswered, a lost watch hid ends for up to 1.2 s.

Change: the first watch does not wait. A watch waits 250 ms while anything runs. An endpoint that answered nothing for 500 ms gets no longer leases and no starts; once the last lease has passed on its clock, its runs are reported as lost and are placed elsewhere.

Each change has a test that fails on the old code.

--- a/src/borageward/runs/endpoint.py
+++ b/src/borageward/runs/endpoint.py
@@ -7,6 +7,11 @@
 
 # The endpoint's clock may be 2% slow, so a lease is asked for a little less.
 _CLOCK_MARGIN = 0.97
+# An endpoint that answered nothing for this time is unreachable once a call to
+# it fails. A single call without an answer is no sign of that.
+_SILENCE_MS = 500.0
+# What runs when a lease lapses may take this long to end.
+_STOP_MARGIN_MS = 60.0
 
 
 class Endpoint:
@@ -30,6 +35,9 @@
         self._clock_ms: Milliseconds = 0
         self._read_ms: Milliseconds = 0
         self._fence = 0
+        self._granted_ms = 0
+        self._answered_ms: Milliseconds = clock.now_ms()
+        self._reachable = True
         # Ends up to this number were handled.
         self.seen_end = 0
         self.left = False
@@ -56,12 +64,17 @@
         """Tell whether the clock is known."""
         return self._fence > 0
 
+    @property
+    def reachable(self) -> bool:
+        """Tell whether the endpoint answers."""
+        return self._reachable
+
     @property
     def accepting(self) -> bool:
         """Tell whether new runs may start."""
         if self.left or self.draining or self._status.draining:
             return False
-        return self.is_ready
+        return self.is_ready and self._reachable
 
     def update(self, status: EndpointStatus) -> bool:
         """Take a newer status; false for a late one."""
@@ -77,6 +90,21 @@
         self._clock_ms = clock_ms
         self._read_ms = self._clock.now_ms()
 
+    def note_answered(self) -> bool:
+        """Note an answer; true when the endpoint was unreachable."""
+        regained = not self._reachable
+        self._answered_ms = self._clock.now_ms()
+        self._reachable = True
+        return regained
+
+    def note_unanswered(self) -> bool:
+        """Note a call without an answer; true when that is one too many."""
+        silent_ms = self._clock.now_ms() - self._answered_ms
+        lost = self._reachable and silent_ms > _SILENCE_MS
+        if lost:
+            self._reachable = False
+        return lost
+
     def take_fence(self) -> None:
         """Use the endpoint's clock as the fence from now on."""
         self._fence = max(self._fence + 1, int(self.estimated_ms()))
@@ -86,6 +114,15 @@
         elapsed_ms = self._clock.now_ms() - self._read_ms
         return self._clock_ms + elapsed_ms * _CLOCK_MARGIN
 
-    def lease_end_ms(self, duration_ms: Milliseconds) -> int:
-        """Return the endpoint's time after a duration."""
-        return int(self.estimated_ms() + duration_ms * _CLOCK_MARGIN)
+    def grant_lease(self, duration_ms: Milliseconds) -> int:
+        """Return the endpoint's time after a duration, as the end of a lease.
+
+        A call with an earlier end is void once that time has passed there.
+        """
+        lease_end_ms = int(self.estimated_ms() + duration_ms * _CLOCK_MARGIN)
+        self._granted_ms = max(self._granted_ms, lease_end_ms)
+        return lease_end_ms
+
+    def has_lapsed(self) -> bool:
+        """Tell whether all leases have passed, so that nothing can run."""
+        return self.estimated_ms() > self._granted_ms + _STOP_MARGIN_MS
--- a/src/borageward/runs/incarnations.py
+++ b/src/borageward/runs/incarnations.py
@@ -142,6 +142,7 @@
             endpoint,
             self._table,
             self._take_lists,
+            self._take_silence,
             self._clock,
             self._log,
         )
@@ -152,6 +153,14 @@
         with trio.CancelScope(shield=True):
             await endpoint.port.close()
 
+    def _take_silence(self, endpoint: Endpoint) -> None:
+        supervisor = self._supervisor
+        if supervisor is None or supervisor.endpoint is not endpoint:
+            return
+        supervisor.end_lapsed()
+        supervisor.admit()
+        self._on_change()
+
     def _retire(self, detail: str) -> None:
         supervisor = self._supervisor
         self._supervisor = None
--- a/src/borageward/runs/lease.py
+++ b/src/borageward/runs/lease.py
@@ -17,11 +17,14 @@
 LEASE_MS = 1000.0
 _RENEW_INTERVAL_MS = 300.0
 _RENEW_TIMEOUT_MS = 400.0
-# The reply to a watch waits this long for an end.
-_WATCH_WAIT_MS = 900
+# The reply to a watch waits this long for an end. While anything runs the wait
+# is short, because a watch whose reply is lost hides the ends until it is over.
+_WATCH_WAIT_MS = 250
 _IDLE_WATCH_WAIT_MS = 1800
-_WATCH_GRACE_MS = 300.0
+_WATCH_GRACE_MS = 130.0
 _RETRY_MS = 50.0
+# An unreachable endpoint is asked again after this.
+_PROBE_INTERVAL_MS = 100.0
 # Ends that come close together are read by one watch.
 _BATCH_MS = 4.0
 
@@ -29,6 +32,7 @@
 ListsHandler: TypeAlias = Callable[
     [Endpoint, EndpointLists, Milliseconds], None
 ]
+SilenceHandler: TypeAlias = Callable[[Endpoint], None]
 
 
 class LeaseKeeper:
@@ -44,16 +48,20 @@
         endpoint: Endpoint,
         table: RunTable,
         handler: ListsHandler,
+        on_silence: SilenceHandler,
         clock: Clock,
         log: EventLog,
     ) -> None:
-        """Prepare to keep the lease; ``handler`` takes all lists."""
+        """Prepare to keep the lease; ``handler`` takes all lists.
+
+        ``on_silence`` is called repeatedly while the endpoint is unreachable.
+        """
         self._endpoint = endpoint
         self._table = table
         self._handler = handler
+        self._on_silence = on_silence
         self._clock = clock
         self._log = log
-        self._reachable = True
 
     async def run(self) -> None:
         """Keep the lease until cancelled."""
@@ -72,26 +80,42 @@
             self._endpoint.take_fence()
 
     async def _watch(self) -> None:
+        # The first lists are asked for without a wait: entries get no session
+        # before it is known what runs.
+        wait_ms = 0
         while True:
-            wait_ms = _WATCH_WAIT_MS
-            if not self._table.is_busy():
-                wait_ms = _IDLE_WATCH_WAIT_MS
             if await self._hold(wait_ms, wait_ms + _WATCH_GRACE_MS):
+                wait_ms = self._watch_wait_ms()
                 await self._clock.sleep_ms(_BATCH_MS)
             else:
+                wait_ms = min(wait_ms, self._watch_wait_ms())
                 await self._clock.sleep_ms(_RETRY_MS)
 
+    def _watch_wait_ms(self) -> int:
+        if not self._endpoint.reachable:
+            return 0
+        if self._table.is_busy():
+            return _WATCH_WAIT_MS
+        return _IDLE_WATCH_WAIT_MS
+
     async def _renew(self, nursery: trio.Nursery) -> None:
         while True:
-            await self._clock.sleep_ms(_RENEW_INTERVAL_MS)
+            await self._clock.sleep_ms(self._renew_interval_ms())
             if self._table.is_busy():
                 nursery.start_soon(self._hold, 0, _RENEW_TIMEOUT_MS)
+            if not self._endpoint.reachable:
+                self._on_silence(self._endpoint)
+
+    def _renew_interval_ms(self) -> Milliseconds:
+        if self._endpoint.reachable:
+            return _RENEW_INTERVAL_MS
+        return _PROBE_INTERVAL_MS
 
     async def _hold(self, wait_ms: int, timeout_ms: Milliseconds) -> bool:
         """Hold once; false without an answer."""
         lease_end_ms = None
-        if self._table.is_busy():
-            lease_end_ms = self._endpoint.lease_end_ms(LEASE_MS)
+        if self._table.is_busy() and self._endpoint.reachable:
+            lease_end_ms = self._endpoint.grant_lease(LEASE_MS)
         request = HoldRequest(
             lease_end_ms,
             self._endpoint.fence,
@@ -119,15 +143,13 @@
         if isinstance(lists, Failure):
             self._note_lost(lists)
             return None
-        if not self._reachable:
-            self._reachable = True
+        if self._endpoint.note_answered():
             self._log.event('endpoint_regained')
         self._endpoint.read_clock(lists.clock_ms)
         return lists
 
     def _note_lost(self, failure: Failure) -> None:
-        if self._reachable:
-            self._reachable = False
+        if self._endpoint.note_unanswered():
             self._log.warning(
                 'endpoint_lost',
                 reason=failure.reason.value,
--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -105,6 +105,15 @@
             run.state = RunState.STOPPING
             self._spawn(self._stop, run)
 
+    def end_lapsed(self) -> None:
+        """End all runs once the leases of an unreachable endpoint passed."""
+        if not self._endpoint.has_lapsed():
+            return
+        for run in self._table:
+            if run.takes_room:
+                run.state = RunState.STOPPING
+                self.end(run, RunOutcome.LOST, 'lease lapsed')
+
     def observe(
         self,
         lists: EndpointLists,
@@ -147,22 +156,14 @@
         request = StartRequest(
             run.ref,
             run.spec,
-            endpoint.lease_end_ms(_START_LEASE_MS),
+            endpoint.grant_lease(_START_LEASE_MS),
             endpoint.fence,
         )
         reply = await endpoint.port.start(request, _START_TIMEOUT_MS)
         if run.state is not RunState.STARTING:
             return
         if isinstance(reply, Failure):
-            self._log.warning(
-                'start_unanswered',
-                job=run.ref.task.job_id,
-                task=run.ref.task.index,
-                run=run.ref.run,
-                reason=reply.reason.value,
-            )
-            run.state = RunState.UNSETTLED
-            run.asked_ms = self._clock.now_ms()
+            self._note_unanswered(run, reply)
             run.void_after_ms = request.lease_end_ms
         elif reply is StartReply.STARTED:
             self._confirm(run)
@@ -174,6 +175,19 @@
                 outcome = RunOutcome.OUTRUN
             self.end(run, outcome, reply.value)
 
+    def _note_unanswered(self, run: Run, failure: Failure) -> None:
+        if self._endpoint.note_unanswered():
+            self._log.warning('endpoint_lost', detail=failure.detail)
+        self._log.warning(
+            'start_unanswered',
+            job=run.ref.task.job_id,
+            task=run.ref.task.index,
+            run=run.ref.run,
+            reason=failure.reason.value,
+        )
+        run.state = RunState.UNSETTLED
+        run.asked_ms = self._clock.now_ms()
+
     async def _wait_for_room(self, run: Run) -> None:
         run.state = RunState.WAITING
         self._full_until_ms = self._clock.now_ms() + _FULL_RETRY_MS
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -40,8 +40,8 @@
 class EndpointStandIn:
     """The product's ``EndpointPort`` over a model of the endpoint.
 
-    ``mute_starts`` and ``mute_stops`` count orders whose answer is lost;
-    ``apply_muted`` tells whether they are carried out.
+    ``mute_starts``, ``mute_stops`` and ``mute_holds`` count calls whose answer
+    is lost; ``apply_muted`` tells whether they are carried out.
     """
 
     def __init__(self, clock: Clock, work_ms: Milliseconds = 100) -> None:
@@ -56,6 +56,7 @@
         self.hanging = False
         self.mute_starts = 0
         self.mute_stops = 0
+        self.mute_holds = 0
         self.apply_muted = True
         self.silent = False
         self._fence = 0
@@ -63,6 +64,11 @@
         self._number = 0
         self._highest: dict[TaskKey, int] = {}
 
+    @property
+    def lease_has_passed(self) -> bool:
+        """Tell whether nothing may run any more."""
+        return self.clock.now_ms() > self._lease_ms
+
     def status(self, **changes: object) -> EndpointStatus:
         """Return what the endpoint reports of itself."""
         status = EndpointStatus(
@@ -119,6 +125,10 @@
         await self._pause(timeout_ms)
         if self.silent:
             return _timeout()
+        if self.mute_holds:
+            self.mute_holds -= 1
+            await self.clock.sleep_ms(timeout_ms)
+            return _timeout()
         self._tick()
         if not self._accepts(request.fence):
             return EndpointLists(self._now(), fenced=True)
@@ -130,7 +140,7 @@
             await self.clock.sleep_ms(_POLL_MS)
             waited_ms += _POLL_MS
             self._tick()
-        return self._lists()
+        return _timeout() if self.silent else self._lists()
 
     async def close(self) -> None:
         """Close nothing."""
--- a/tests/runs/test_guard_runs.py
+++ b/tests/runs/test_guard_runs.py
@@ -222,3 +222,53 @@
         await trio.sleep(0.3)
         assert other.outcomes() == {(0, 1): 'refused'}
         assert len(endpoint.starts) == 1
+
+
+async def test_idle_endpoint_opens_sessions_at_once(autojump_clock):
+    """Guards against a restarted guard that waits until a lease has passed."""
+    started = trio.current_time()
+    async with running_guard():
+        took_ms = (trio.current_time() - started) * 1000
+        assert took_ms < 200
+
+
+async def test_end_behind_a_lost_watch_is_noticed_soon(autojump_clock):
+    """Guards against ends that a watch without an answer hides."""
+    async with running_guard(work_ms=50) as (_, endpoint, entry, _nursery):
+        await trio.sleep(2)
+        endpoint.mute_holds = 2
+        await entry.start(0)
+        await trio.sleep(0.8)
+        assert entry.outcomes() == {(0, 1): 'done'}
+
+
+async def test_runs_of_a_silent_endpoint_end_with_its_lease(autojump_clock):
+    """Guards against jobs that wait for an endpoint that has crashed.
+
+    Silence is noted after 0.5 to 0.9 s, and the last lease then granted has
+    passed 1 s later.
+    """
+    async with running_guard(work_ms=9000) as (_, endpoint, entry, _nursery):
+        await entry.start(0)
+        await trio.sleep(0.5)
+        endpoint.silent = True
+        await trio.sleep(1)
+        assert not entry.ends
+        assert not entry.state.accepting
+        await trio.sleep(1.2)
+        assert entry.outcomes() == {(0, 1): 'lost'}
+        assert endpoint.lease_has_passed
+
+
+async def test_silent_endpoint_that_answers_again_is_used(autojump_clock):
+    """Guards against an endpoint that stays unused after a short silence."""
+    async with running_guard() as (_, endpoint, entry, _nursery):
+        await entry.start(0)
+        endpoint.silent = True
+        await trio.sleep(4)
+        endpoint.silent = False
+        await trio.sleep(0.5)
+        assert entry.state.accepting
+        await entry.start(0, job='next')
+        await trio.sleep(0.5)
+        assert entry.ends[-1].outcome.value == 'done'
