--- a/src/borageward/dispatch/guardlink.py
+++ b/src/borageward/dispatch/guardlink.py
@@ -33,7 +33,7 @@
 _CONNECT_TIMEOUT_MS = 500.0
 _RECONNECT_MS = 60.0
 # After the last heartbeat the guard's session holds for 900 ms, the endpoint's
-# lease for 1,000 ms on a clock that may be 2% slow; the rest is for stopping.
+# lease for 900 ms on a clock that may be 2% slow; the rest is for stopping.
 LAPSE_MS = 2150.0
 _MS_PER_SECOND = 1000.0
 
--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -117,7 +117,7 @@
         for run in self._table:
             if run.takes_room:
                 run.state = RunState.STOPPING
-                self.end(run, RunOutcome.LOST, 'lease lapsed')
+                self.end(run, RunOutcome.LOST, 'endpoint silent')
 
     def observe(
         self,
@@ -187,7 +187,11 @@
 
     def _note_unanswered(self, run: Run, failure: Failure) -> None:
         if self._endpoint.note_unanswered():
-            self._log.warning('endpoint_lost', detail=failure.detail)
+            self._log.warning(
+                'endpoint_lost',
+                reason=failure.reason.value,
+                detail=failure.detail,
+            )
         self._log.warning(
             'start_unanswered',
             job=run.ref.task.job_id,
