Estimate the endpoint's clock by a clock that stops with the host

Cause: read beside the rule that a steady clock doesn't count a suspension. The guard estimated the endpoint's clock by one that counts it, so after a suspension of the host the estimate could lie ahead, and a lease be taken for lapsed while its runs still work: a second run at the same time. Since silent endpoints end with their lease, the estimate must be a lower bound.

Change: the estimate uses the monotonic clock; sessions go on to use the one that counts suspensions. The test fails with the former clock.

--- a/src/borageward/runs/endpoint.py
+++ b/src/borageward/runs/endpoint.py
@@ -31,7 +31,12 @@
         port: EndpointPort,
         clock: Clock,
     ) -> None:
-        """Prepare for an incarnation that was just announced."""
+        """Prepare for an incarnation that was just announced.
+
+        ``clock`` must not count the time in which the host was suspended: the
+        endpoint's clock may have stood still meanwhile, and an estimate beyond
+        it would take runs for lapsed that still work.
+        """
         self._status = status
         self._port = port
         self._clock = clock
--- a/src/borageward/runs/incarnations.py
+++ b/src/borageward/runs/incarnations.py
@@ -34,14 +34,20 @@
         on_end: EndHandler,
         on_change: Callable[[], None],
         clock: Clock,
+        steady_clock: Clock,
         log: EventLog,
     ) -> None:
-        """Prepare to follow; both callbacks must not wait."""
+        """Prepare to follow; both callbacks must not wait.
+
+        ``clock`` has to count suspensions of the host, ``steady_clock`` must
+        not.
+        """
         self._open_port = open_port
         self._table = table
         self._on_end = on_end
         self._on_change = on_change
         self._clock = clock
+        self._steady_clock = steady_clock
         self._log = log
         self._started_ms = clock.now_ms()
         self._listed_alone = False
@@ -113,7 +119,11 @@
         nursery = self._nursery
         if nursery is None:
             return
-        endpoint = Endpoint(status, self._open_port(status), self._clock)
+        endpoint = Endpoint(
+            status,
+            self._open_port(status),
+            self._steady_clock,
+        )
         endpoint.draining = self._draining
         self._log.event(
             'endpoint_found',
--- a/src/borageward/runs/service.py
+++ b/src/borageward/runs/service.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from borageward.clock import Clock, Milliseconds
+from borageward.clock import Clock, Milliseconds, SystemClock
 from borageward.runs.incarnations import EndpointWatch, PortFactory
 from borageward.runs.port import EndpointStatus
 from borageward.runs.sessionserver import SessionServer
@@ -36,6 +36,7 @@
             self._sessions.take_run_end,
             self._sessions.notify,
             clock,
+            SystemClock(),
             log,
         )
         self._sessions.attach(self._watch)
--- a/tests/runs/guardharness.py
+++ b/tests/runs/guardharness.py
@@ -110,8 +110,8 @@
 class Guard:
     """One guard process; another one may follow it at the same endpoint."""
 
-    def __init__(self, endpoint, nursery):
-        clock = endpoint.clock
+    def __init__(self, endpoint, nursery, clock=None):
+        clock = clock or endpoint.clock
         log = EventLog()
         self.table = RunTable()
         self.sessions = SessionServer(self.table, clock, log)
@@ -121,6 +121,7 @@
             self.sessions.take_run_end,
             self.sessions.notify,
             clock,
+            endpoint.clock,
             log,
         )
         self.sessions.attach(self.watch)
@@ -141,11 +142,11 @@
 
 
 @contextlib.asynccontextmanager
-async def running_guard(work_ms=100):
+async def running_guard(work_ms=100, clock=None):
     """Run a guard whose endpoint has reported itself, and one entry."""
     endpoint = EndpointStandIn(SystemClock(), work_ms)
     async with trio.open_nursery() as nursery:
-        guard = Guard(endpoint, nursery)
+        guard = Guard(endpoint, nursery, clock)
         nursery.start_soon(guard.run)
         await wait_all_tasks_blocked()
         guard.watch.report(endpoint.status())
--- a/tests/runs/test_guard_runs.py
+++ b/tests/runs/test_guard_runs.py
@@ -5,6 +5,8 @@
 import trio
 from trio.testing import wait_all_tasks_blocked
 
+from borageward.clock import SystemClock
+
 from tests.runs.guardharness import Guard, ref, running_guard
 
 
@@ -291,3 +293,26 @@
         await entry.start(0)
         await trio.sleep(5.5)
         assert entry.outcomes() == {(0, 1): 'done'}
+
+
+class SuspendedClock(SystemClock):
+    """Clock of a host that was suspended; it counts that time."""
+
+    suspended_ms = 0
+
+    def now_ms(self):
+        """Return the time since boot."""
+        return super().now_ms() + self.suspended_ms
+
+
+async def test_suspension_does_not_advance_the_endpoint_clock(autojump_clock):
+    """Guards against leases taken for lapsed while their runs still work.
+
+    The endpoint's clock may stand still while the host is suspended.
+    """
+    clock = SuspendedClock()
+    async with running_guard(clock=clock) as (guard, _endpoint, _entry, _):
+        endpoint = guard.watch.supervisor.endpoint
+        before_ms = endpoint.estimated_ms()
+        clock.suspended_ms = 5000
+        assert endpoint.estimated_ms() - before_ms < 100
