Pass an operator's call on to the control leader

Cause: a follower redirected an operator to the leader. While acknowledgements are lost and the former leader is frozen, each exchange may cost a second, and an order needs two answers in a row. Replicas wrote no line for an order that they redirected.

Change: ManifestStore carries a call for the manifest from any replica to the leader and back. The redirect remains for a leader that refuses connections. Both outcomes are logged.

--- a/src/borageward/control/cluster/replica.py
+++ b/src/borageward/control/cluster/replica.py
@@ -9,6 +9,7 @@
 from borageward.clock import Clock
 from borageward.control.cluster.identity import ReplicaIdentity
 from borageward.control.cluster.joining import Membership
+from borageward.control.cluster.manifeststore import ManifestStore
 from borageward.control.cluster.options import ClusterOptions
 from borageward.discovery import ReplicaCalls
 from borageward.control.cluster.repair import VoterRepair
@@ -45,6 +46,7 @@
             disk,
         )
         self._calls = ReplicaCalls(nursery)
+        self._manifests = ManifestStore(self._node, self._calls, log)
         self._membership = Membership(
             options,
             self._node,
@@ -60,6 +62,11 @@
         """Return the node of the control log."""
         return self._node
 
+    @property
+    def manifests(self) -> ManifestStore:
+        """Return the access to the manifest through this replica."""
+        return self._manifests
+
     @property
     def repair(self) -> VoterRepair:
         """Return the repair that adds and replaces replicas."""
--- a/src/borageward/control/cluster/service.py
+++ b/src/borageward/control/cluster/service.py
@@ -25,15 +25,21 @@
     JoinCluster,
     Joined,
 )
-from borageward.messages.queues import ManifestStored, PublishManifest
+from borageward.messages.queues import (
+    ManifestReply,
+    ManifestRequest,
+    ManifestStored,
+)
 from borageward.queues import QueueManifest
 from borageward.telemetry import EventLog
 from borageward.transport import Address, FrameRpcServer, parse_address
 
-_MS_PER_SECOND = 1000.0
-
-_ClusterRequest: TypeAlias = ConsensusRequest | DiscoveryRequest
-_ClusterReply: TypeAlias = ConsensusReply | Announced | ClusterView | Joined
+_ClusterRequest: TypeAlias = (
+    ConsensusRequest | DiscoveryRequest | ManifestRequest
+)
+_ClusterReply: TypeAlias = (
+    ConsensusReply | Announced | ClusterView | Joined | ManifestReply
+)
 
 
 class ClusterService:
@@ -101,35 +107,17 @@
         replica = self._replica
         if replica is None:
             return _starting_failure()
-        with trio.move_on_after(timeout_ms / _MS_PER_SECOND):
-            reply = await replica.node.propose(PublishManifest(manifest))
-            if isinstance(reply, ManifestStored | Failure):
-                return reply
-            return Failure(
-                FailureReason.MALFORMED_MESSAGE,
-                'unexpected reply to a published manifest',
-            )
-        return Failure(
-            FailureReason.TIMEOUT,
-            'no majority of control replicas stored the manifest in time',
-        )
+        return await replica.manifests.publish(manifest, timeout_ms)
 
     async def newest(self, timeout_ms: float) -> QueueManifest | Failure | None:
         """Return the newest manifest, or ``None`` when none is stored.
 
-        Returns a failure when no majority confirms within the timeout that
-        this replica leads.
+        Returns a failure when no majority confirms the leader in time.
         """
         replica = self._replica
         if replica is None:
             return _starting_failure()
-        with trio.move_on_after(timeout_ms / _MS_PER_SECOND):
-            failure = await replica.node.confirm_leadership()
-            return failure or replica.node.machine.manifests.newest
-        return Failure(
-            FailureReason.TIMEOUT,
-            'no majority of control replicas confirmed the leader in time',
-        )
+        return await replica.manifests.newest(timeout_ms)
 
     async def _run(self) -> None:
         with self._scope:
@@ -169,6 +157,9 @@
         if isinstance(request, AnnounceGuard):
             self._registry.announce(request.guard)
             return Announced(_replica_addresses(replica))
+        if isinstance(request, ManifestRequest):
+            reply = await replica.manifests.serve(request)
+            return Rejected.of(reply) if isinstance(reply, Failure) else reply
         if isinstance(request, ConsensusRequest):
             return await replica.node.serve(request)
         return await self._handle_join(replica, request)
--- a/src/borageward/discovery/replicas.py
+++ b/src/borageward/discovery/replicas.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeAlias
 
 import trio
 
@@ -10,8 +10,11 @@
 from borageward.failures import Failure
 from borageward.messages.base import Rejected
 from borageward.messages.discovery import DiscoveryReply
+from borageward.messages.queues import ManifestReply
 from borageward.transport import FramePeer, parse_address
 
+_Reply: TypeAlias = DiscoveryReply | ManifestReply
+
 
 class ReplicaCaller(Protocol):
     """Interface for calls to control replicas by address."""
@@ -69,6 +72,6 @@
         parsed = parse_address(address)
         if isinstance(parsed, Failure):
             return parsed
-        peer = FramePeer(parsed, DiscoveryReply, self._nursery)
+        peer = FramePeer(parsed, _Reply, self._nursery)
         self._peers[address] = peer
         return peer
--- a/src/borageward/messages/queues.py
+++ b/src/borageward/messages/queues.py
@@ -1,8 +1,10 @@
-"""Messages that store the queue manifest."""
+"""Messages that store and read the queue manifest."""
 
 from __future__ import annotations
 
-from borageward.messages.base import Message
+from typing import TypeAlias
+
+from borageward.messages.base import Message, Rejected
 from borageward.queues.manifest import QueueManifest
 
 
@@ -16,3 +18,17 @@
     """Reply to ``PublishManifest`` with the version now in force."""
 
     version: int
+
+
+class ReadManifest(Message, frozen=True):
+    """Ask the leader for the newest manifest, confirmed by a majority."""
+
+
+class NewestManifest(Message, frozen=True):
+    """Reply to ``ReadManifest``; ``None`` when no manifest is stored."""
+
+    manifest: QueueManifest | None
+
+
+ManifestRequest: TypeAlias = PublishManifest | ReadManifest
+ManifestReply: TypeAlias = ManifestStored | NewestManifest | Rejected
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -197,6 +197,14 @@
             'version, in_force, queues',
             'A majority of the control replicas has synced a manifest.',
         ),
+        'manifest_call_forwarded': _info(
+            'call, leader, outcome',
+            'A follower passed an operator call on to the leader.',
+        ),
+        'operator_redirected': _info(
+            'call, leader',
+            'A follower that could not reach the leader redirected a call.',
+        ),
         'manifest_refused': _warning(
             'detail', 'A submitted manifest is invalid.'
         ),
--- a/tests/control/fakes.py
+++ b/tests/control/fakes.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from borageward.control.cluster.manifeststore import ManifestStore
 from borageward.control.consensus import Node, NodeOptions
 from borageward.control.service.leases import LeaseTable
 from borageward.control.service.reads import Reader
@@ -15,6 +16,7 @@
 from borageward.control.storage.errors import disk_full, storage_failed
 from borageward.failures import Failure, FailureReason
 from borageward.messages.consensus import ConsensusRequest, Replica
+from borageward.messages.queues import ManifestRequest
 from borageward.settings import ControlSettings
 from borageward.telemetry import EventLog
 
@@ -211,6 +213,19 @@
         return reply
 
 
+class FakeCalls:
+    """Calls from a process to the others; their addresses are their ids."""
+
+    def __init__(self, network, sender, gate):
+        self._network = network
+        self._sender = sender
+        self._gate = gate
+
+    async def call(self, address, request, timeout_ms):
+        peer = FakePeer(self._network, self._sender, address, self._gate)
+        return await peer.call(request, timeout_ms)
+
+
 class FakeProcess:
     """A control process that can be killed, frozen and restarted."""
 
@@ -241,6 +256,8 @@
         leases = LeaseTable(self._settings(), self.node, clock, EventLog())
         reader = Reader(self.node, leases, clock)
         self._router = RequestRouter(self.node, leases, reader)
+        calls = FakeCalls(self._network, self.voter_id, self.gate)
+        self.manifests = ManifestStore(self.node, calls, EventLog())
         await self._nursery.start(self._run, leases)
 
     def kill(self):
@@ -300,6 +317,8 @@
     async def _answer(self, request):
         if isinstance(request, ConsensusRequest):
             return await self.node.serve(request)
+        if isinstance(request, ManifestRequest):
+            return await self.manifests.serve(request)
         return await self._router.serve(request)
 
     def _settings(self):
@@ -310,7 +329,7 @@
         return NodeOptions(
             self.voter_id,
             tuple(
-                Replica(voter, '127.0.0.1:1', '127.0.0.1:1', voter=True)
+                Replica(voter, '127.0.0.1:1', voter, voter=True)
                 for voter in self._voters
             ),
             self.learner,
--- a/tests/control/test_manifests.py
+++ b/tests/control/test_manifests.py
@@ -10,6 +10,7 @@
 from borageward.control.cluster.options import ClusterOptions
 from borageward.control.cluster.repair import VoterRepair
 from borageward.control.state import StateMachine
+from borageward.failures import FailureReason
 from borageward.messages.consensus import LogEntry
 from borageward.messages.discovery import Joined, JoinCluster
 from borageward.messages.queues import ManifestStored, PublishManifest
@@ -19,6 +20,7 @@
 
 LIMITS = RequestLimits(1000, 1000, 1000, 1000)
 ADDRESS = '127.0.0.1:1'
+CALL_MS = 300
 
 
 def manifest(version, document=b'{}'):
@@ -73,6 +75,19 @@
                 return node.machine.manifests.newest.version
 
 
+async def follower_of(cluster):
+    """Return a running process that knows the leader and does not lead."""
+    leader = await cluster.wait_leader()
+    with trio.fail_after(30):
+        while True:
+            for process in cluster:
+                known = process.node.leader
+                if process is not leader and known is not None:
+                    if known.voter_id == leader.voter_id:
+                        return process
+            await trio.sleep(0.01)
+
+
 async def join(cluster, voter_id, address):
     """Start a replica with an empty disk and add it as a learner."""
     process = cluster.add(voter_id, learner=True)
@@ -199,3 +214,66 @@
     from msgspec import msgpack
 
     return LogEntry(index, 1, 1000 + index, msgpack.encode(command))
+
+
+def test_follower_stores_and_reads_through_the_leader():
+    """Guards against orders that need a second exchange to be stored.
+
+    An operator whose answers are lost, or who is redirected to a leader that
+    has just been frozen, gets no acknowledgement in time.
+    """
+
+    async def scenario(cluster, nursery):
+        follower = await follower_of(cluster)
+        stored = await follower.manifests.publish(manifest(7), CALL_MS)
+        assert stored == ManifestStored(7)
+        assert await follower.manifests.newest(CALL_MS) == manifest(7)
+
+    run(scenario)
+
+
+def test_order_at_a_follower_is_stored_while_the_former_leader_is_frozen():
+    """Guards against orders that reach the log only after the thaw."""
+
+    async def scenario(cluster, nursery):
+        frozen = await cluster.wait_leader()
+        frozen.gate.freeze()
+        frozen.alive = False
+        await cluster.wait_leader(other_than=frozen)
+        frozen.alive = True
+        follower = next(
+            process
+            for process in cluster
+            if process is not frozen and not process.node.leader_term
+        )
+        await trio.sleep(0.2)
+        stored = await follower.manifests.publish(manifest(8), CALL_MS)
+        assert stored == ManifestStored(8)
+
+    run(scenario)
+
+
+def test_order_gets_an_answer_when_the_leader_is_silent():
+    """Guards against an order that waits for a frozen leader without end."""
+
+    async def scenario(cluster, nursery):
+        follower = await follower_of(cluster)
+        leader = await cluster.wait_leader()
+        cluster.network.isolate(leader.voter_id)
+        started = trio.current_time()
+        reply = await follower.manifests.publish(manifest(9), CALL_MS)
+        assert reply.reason is FailureReason.TIMEOUT
+        assert trio.current_time() - started <= CALL_MS / 1000
+
+    run(scenario)
+
+
+def test_call_is_forwarded_once_only():
+    """Guards against calls that circle between replicas without a leader."""
+
+    async def scenario(cluster, nursery):
+        follower = await follower_of(cluster)
+        reply = await follower.manifests.serve(PublishManifest(manifest(3)))
+        assert reply.reason is FailureReason.NOT_LEADER
+
+    run(scenario)
