Let the benchmark of claims start its processes and end with them

Cause: the children were started by path, so Python put bench/ in front of the standard library and bench/logging.py hid the module logging; the children ended at their first import and the benchmark waited for ever.

Change: children are started as a module, bench/logging.py is log_cost.py, and a benchmark whose child ends by itself says so and ends.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import functools
 import pathlib
 import random
 import socket
@@ -13,6 +14,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Awaitable, Callable
 
 import attrs
 import msgspec
@@ -27,10 +29,13 @@
 from borageward.settings import ControlSettings, VoterAddress
 from borageward.transport import Address
 
-SCRIPT = pathlib.Path(__file__).with_name('control_process.py')
+CONTROL_MODULE = 'bench.control_process'
+_CHECK_INTERVAL_S = 0.2
 CLIENTS = 32
 KILLS = 5
 TIMEOUT_MS = 10_000
+_START_LIMIT_S = 20.0
+_FAILOVER_LIMIT_S = 60.0
 COLUMNS = (
     'replicas',
     'batch',
@@ -58,6 +63,14 @@
     records: int
 
 
+class ChildEnded(Exception):
+    """A control process ended by itself, so nothing can be measured."""
+
+    def __init__(self, voter_id: str, status: int) -> None:
+        """Describe the end of a voter's process with its exit status."""
+        super().__init__(f'voter {voter_id} ended with status {status}')
+
+
 class ProcessGroup:
     """Control processes that listen on ports of the loopback interface."""
 
@@ -77,6 +90,7 @@
             for number in range(count)
         )
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._killed: set[str] = set()
 
     def start(self, voter: VoterAddress) -> None:
         """Write the settings of a voter and start its process."""
@@ -89,12 +103,22 @@
         )
         path = self._folder / f'{voter.voter_id}.json'
         path.write_bytes(msgspec.json.encode(settings))
+        self._killed.discard(voter.voter_id)
         self._processes[voter.voter_id] = subprocess.Popen(
-            (sys.executable, str(SCRIPT), str(path)),
+            (sys.executable, '-m', CONTROL_MODULE, str(path)),
         )
 
+    async def watch(self) -> None:
+        """Raise ``ChildEnded`` when a process ends that was not killed."""
+        while True:
+            for voter_id, process in self._processes.items():
+                if process.poll() is not None and voter_id not in self._killed:
+                    raise ChildEnded(voter_id, process.returncode)
+            await trio.sleep(_CHECK_INTERVAL_S)
+
     def kill(self, voter_id: str) -> None:
         """Kill the process of a voter and wait until it has exited."""
+        self._killed.add(voter_id)
         self._processes[voter_id].kill()
         self._processes[voter_id].wait()
 
@@ -214,8 +238,8 @@
     return ' '.join(format(column, '10.3f') for column in columns)
 
 
-async def measure_failover(group: ProcessGroup) -> list[float]:
-    """Return the milliseconds from each kill of the leader to a claim."""
+async def measure_failover(group: ProcessGroup) -> str:
+    """Return a line with the time from each kill of the leader to a claim."""
     client = open_grpc_client(group.addresses(), SystemClock())
     times_ms = []
     for _ in range(KILLS):
@@ -230,7 +254,8 @@
         group.start(voter)
         await trio.sleep(2)
     await client.close()
-    return times_ms
+    formatted = ' '.join(f'{time_ms:.0f}' for time_ms in times_ms)
+    return f'kill of the leader to the next claim, ms: {formatted}'
 
 
 async def _claim_one(client: ControlClient, incarnation: int) -> bool:
@@ -241,6 +266,26 @@
     return not isinstance(reply, Failure)
 
 
+async def measure(
+    count: int,
+    limit_s: float,
+    measurement: Callable[[ProcessGroup], Awaitable[str]],
+) -> None:
+    """Print the result of a measurement on a new group of processes.
+
+    Prints that it gave no result when it takes longer than ``limit_s``. Raises
+    ``ChildEnded``, in an exception group, when a process ends by itself.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        group = ProcessGroup(count, pathlib.Path(folder))
+        try:
+            for voter in group.voters:
+                group.start(voter)
+            print(await _measure_while_watched(group, limit_s, measurement))
+        finally:
+            group.close()
+
+
 async def main(seconds: float) -> None:
     """Print the claim table and the failover times.
 
@@ -249,22 +294,23 @@
     print(' '.join(name.rjust(10) for name in COLUMNS))
     for count in (1, 3):
         for batch in (1, 10, 100):
-            with tempfile.TemporaryDirectory() as folder:
-                group = ProcessGroup(count, pathlib.Path(folder))
-                for voter in group.voters:
-                    group.start(voter)
-                with trio.move_on_after(seconds + 20):
-                    print(await measure_rate(group, batch, seconds))
-                group.close()
-    with tempfile.TemporaryDirectory() as folder:
-        group = ProcessGroup(3, pathlib.Path(folder))
-        for voter in group.voters:
-            group.start(voter)
-        with trio.move_on_after(60):
-            times_ms = await measure_failover(group)
-            formatted = ' '.join(f'{time_ms:.0f}' for time_ms in times_ms)
-            print(f'kill of the leader to the next claim, ms: {formatted}')
-        group.close()
+            rate = functools.partial(measure_rate, batch=batch, seconds=seconds)
+            await measure(count, seconds + _START_LIMIT_S, rate)
+    await measure(3, _FAILOVER_LIMIT_S, measure_failover)
+
+
+async def _measure_while_watched(
+    group: ProcessGroup,
+    limit_s: float,
+    measurement: Callable[[ProcessGroup], Awaitable[str]],
+) -> str:
+    line = f'no result within {limit_s:.0f} s'
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(group.watch)
+        with trio.move_on_after(limit_s):
+            line = await measurement(group)
+        nursery.cancel_scope.cancel()
+    return line
 
 
 def _address(port: int) -> str:
--- a/bench/logging.py
+++ b/bench/log_cost.py
@@ -1,6 +1,6 @@
 """Time to write one log line to a file.
 
-Run with ``python -m bench.logging``. Prints the median over several rounds.
+Run with ``python -m bench.log_cost``. Prints the median over several rounds.
 """
 
 from __future__ import annotations
--- a/src/borageward/control/consensus/election.py
+++ b/src/borageward/control/consensus/election.py
@@ -94,7 +94,9 @@
         await clock.sleep_ms(timeout_ms)
         while context.last_contact_ms > contact_ms:
             contact_ms = context.last_contact_ms
-            remaining_ms = self._election_timeout_ms() - self._since_contact_ms()
+            remaining_ms = (
+                self._election_timeout_ms() - self._since_contact_ms()
+            )
             await clock.sleep_ms(max(_MIN_SLEEP_MS, remaining_ms))
 
     def _since_contact_ms(self) -> Milliseconds:
