Link each entry to a subset of the guards

Guards announce the pool and labels of their endpoint. Guards announce themselves every 2 s and entries ask some replica each 100 ms instead of every replica each 250 ms; unchanged lists are no longer copied.

--- a/src/borageward/control/cluster/registry.py
+++ b/src/borageward/control/cluster/registry.py
@@ -12,7 +12,9 @@
 
 # Four announcements in a row may be lost before a guard is removed. Entries
 # keep their links to it in the meantime, so a late removal costs little.
-_RETENTION_MS = 6000.0
+_RETENTION_MS = 10_000.0
+# Reads of the list drop expired guards at most this often.
+_EXPIRY_INTERVAL_MS = 500.0
 _VERSION_BITS = 53
 
 
@@ -40,10 +42,11 @@
         self._log = log
         self._announcements: dict[str, _Announcement] = {}
         self._version = source.getrandbits(_VERSION_BITS)
+        self._next_expiry_ms: Milliseconds = 0
 
-    @property
     def version(self) -> int:
         """Return the version of the list, which grows with each change."""
+        self._expire()
         return self._version
 
     def announce(self, guard: GuardAddress) -> None:
@@ -63,11 +66,14 @@
 
     def live(self) -> tuple[GuardAddress, ...]:
         """Return the guards whose last announcement is recent enough."""
-        self._expire()
         return tuple(item.guard for item in self._announcements.values())
 
     def _expire(self) -> None:
-        oldest_ms = self._clock.now_ms() - _RETENTION_MS
+        now_ms = self._clock.now_ms()
+        if now_ms < self._next_expiry_ms:
+            return
+        self._next_expiry_ms = now_ms + _EXPIRY_INTERVAL_MS
+        oldest_ms = now_ms - _RETENTION_MS
         expired = [
             name
             for name, item in self._announcements.items()
--- a/src/borageward/control/cluster/service.py
+++ b/src/borageward/control/cluster/service.py
@@ -188,12 +188,12 @@
         manifest = replica.node.machine.manifests.newest
         if manifest and manifest.version <= request.manifest_version:
             manifest = None
-        guards = self._registry.live()
-        version = self._registry.version
+        version = self._registry.version()
+        known = version == request.guards_version
         return ClusterView(
             manifest,
             version,
-            None if version == request.guards_version else guards,
+            None if known else self._registry.live(),
             _replica_addresses(replica),
         )
 
--- a/src/borageward/dispatch/directory.py
+++ b/src/borageward/dispatch/directory.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+
+import attrs
+
 from borageward.clock import Clock, Milliseconds
 from borageward.discovery import ReplicaCaller, ReplicaFanout
 from borageward.messages.discovery import (
@@ -13,7 +16,8 @@
 from borageward.queues import QueueManifest
 from borageward.telemetry import EventLog
 
-_POLL_INTERVAL_MS = 250.0
+# Some replica is asked in each of these intervals, whatever their number.
+_POLL_INTERVAL_MS = 100.0
 _POLL_TIMEOUT_MS = 600.0
 # Until the first manifest and guards arrive, the entry cannot serve any caller,
 # so it polls more often.
@@ -22,6 +26,15 @@
 # A guard that no replica lists is kept for this time, because its link may
 # still be restored.
 _GUARD_RETENTION_MS = 20_000.0
+_DROP_INTERVAL_MS = 1000.0
+
+
+@attrs.frozen(slots=True)
+class _ReplicaList:
+    """Guards that a replica lists, and when it last confirmed the list."""
+
+    guards: tuple[GuardAddress, ...]
+    confirmed_ms: Milliseconds
 
 
 class Directory:
@@ -51,8 +64,11 @@
         self._log = log
         self._manifest: QueueManifest | None = None
         self._guards: dict[str, GuardAddress] = {}
+        # Times at which guards were last seen in a list that has changed
+        # since. Guards in a current list are as recent as the list.
         self._last_listed_ms: dict[str, Milliseconds] = {}
-        self._guards_by_replica: dict[str, tuple[GuardAddress, ...]] = {}
+        self._lists: dict[str, _ReplicaList] = {}
+        self._next_drop_ms: Milliseconds = 0
 
     @property
     def manifest(self) -> QueueManifest | None:
@@ -93,7 +109,7 @@
 
     def _interval_ms(self) -> Milliseconds:
         if self._is_complete():
-            return _POLL_INTERVAL_MS
+            return _POLL_INTERVAL_MS * len(self._replicas)
         return _FIRST_POLL_INTERVAL_MS
 
     def _timeout_ms(self) -> Milliseconds:
@@ -106,18 +122,42 @@
 
     def _apply_view(self, address: str, view: ClusterView) -> None:
         self.add_seeds(view.replicas)
-        if view.guards is not None:
-            self._guards_by_replica[address] = view.guards
         now_ms = self._clock.now_ms()
         changed = self._update_manifest(view.manifest)
-        for guard in self._guards_by_replica.get(address, ()):
-            self._last_listed_ms[guard.host_name] = now_ms
-            if self._guards.get(guard.host_name) != guard:
-                self._guards[guard.host_name] = guard
-                changed = True
+        if view.guards is None:
+            self._confirm_list(address, now_ms)
+        else:
+            changed = (
+                self._replace_list(address, view.guards, now_ms) or changed
+            )
         if self._drop_unlisted(now_ms) or changed:
             self._on_change()
 
+    def _confirm_list(self, address: str, now_ms: Milliseconds) -> None:
+        known = self._lists.get(address)
+        if known is not None:
+            self._lists[address] = _ReplicaList(known.guards, now_ms)
+
+    def _replace_list(
+        self,
+        address: str,
+        guards: tuple[GuardAddress, ...],
+        now_ms: Milliseconds,
+    ) -> bool:
+        """Store the list of a replica; return whether the guards changed."""
+        former = self._lists.get(address)
+        if former is not None:
+            for guard in former.guards:
+                self._last_listed_ms[guard.host_name] = former.confirmed_ms
+        self._lists[address] = _ReplicaList(guards, now_ms)
+        changed = [
+            guard
+            for guard in guards
+            if _is_news(guard, self._guards.get(guard.host_name))
+        ]
+        self._guards.update((guard.host_name, guard) for guard in changed)
+        return bool(changed)
+
     def _update_manifest(self, manifest: QueueManifest | None) -> bool:
         if manifest is None:
             return False
@@ -133,12 +173,33 @@
         return True
 
     def _drop_unlisted(self, now_ms: Milliseconds) -> bool:
+        if now_ms < self._next_drop_ms:
+            return False
+        self._next_drop_ms = now_ms + _DROP_INTERVAL_MS
         oldest_ms = now_ms - _GUARD_RETENTION_MS
+        listed = {
+            guard.host_name
+            for known in self._lists.values()
+            if known.confirmed_ms >= oldest_ms
+            for guard in known.guards
+        }
         dropped = [
             name
             for name in self._guards
-            if self._last_listed_ms[name] < oldest_ms
+            if name not in listed
+            and self._last_listed_ms.get(name, 0) < oldest_ms
         ]
         for name in dropped:
             self._guards.pop(name)
+            self._last_listed_ms.pop(name, None)
         return bool(dropped)
+
+
+def _is_news(guard: GuardAddress, known: GuardAddress | None) -> bool:
+    """Return whether a listed guard replaces the known one.
+
+    A replica may still list the guard as it was before its endpoint reported.
+    """
+    if known is None or guard.link_address != known.link_address:
+        return True
+    return bool(guard.pool) and guard != known
--- a/src/borageward/dispatch/dispatcher.py
+++ b/src/borageward/dispatch/dispatcher.py
@@ -139,6 +139,7 @@
         """
         ahead_cpu_ms: dict[str, float] = collections.defaultdict(float)
         for waiting in unplaced:
+            self._report_shortage(waiting)
             job = waiting.job
             pool = job.request.queue.pool
             backlog = Backlog(ahead_cpu_ms[pool], candidates.cores(pool))
@@ -150,6 +151,11 @@
             else:
                 ahead_cpu_ms[pool] += _cpu_ms(job, waiting.task)
 
+    def _report_shortage(self, waiting: _WaitingTask) -> None:
+        request = waiting.job.request
+        step = request.steps[waiting.task.key.step]
+        self._fleet.report_shortage(request.queue.pool, step.required_label)
+
     def _waiting_by_slack(self) -> list[_WaitingTask]:
         now_ms = self._clock.now_ms()
         waiting: list[_WaitingTask] = []
--- a/src/borageward/dispatch/fleet.py
+++ b/src/borageward/dispatch/fleet.py
@@ -1,4 +1,4 @@
-"""Links of an entry to all guards."""
+"""Links of an entry to a subset of the guards."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 from borageward.failures import Failure
 from borageward.messages.discovery import GuardAddress
 from borageward.messages.runs import RunOutcome, RunRef, StartRuns
+from borageward.policy.guard_subset import GuardSubset
 from borageward.telemetry import EventLog
 from borageward.transport import parse_address
 
@@ -19,6 +20,13 @@
 EndHandler = Callable[[str, RunRef, RunOutcome, str], None]
 
 
+# A link whose session has not opened in this time counts as unusable.
+_OPENING_MS = 600.0
+# A link outside the subset is kept for this time: a guard that the subset left
+# out only for a moment keeps its session.
+_SURPLUS_MS = 3000.0
+
+
 @attrs.frozen(slots=True)
 class _Order:
     message: StartRuns
@@ -27,11 +35,16 @@
 
 
 class Fleet:
-    """Links to the guards of the directory, one for each guard."""
+    """Links to the guards of the entry's subset, one for each guard.
+
+    ``update_links`` has to be called when the directory has changed, and at
+    intervals, because the subset depends on the state of the links.
+    """
 
     def __init__(
         self,
         entry: str,
+        subset: GuardSubset,
         on_end: EndHandler,
         on_change: Callable[[], None],
         clock: Clock,
@@ -43,6 +56,7 @@
         callbacks must not block.
         """
         self._entry = entry
+        self._subset = subset
         self._on_end = on_end
         self._on_change = on_change
         self._clock = clock
@@ -50,11 +64,24 @@
         self._links: dict[str, GuardLink] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._pending: dict[tuple[str, str, int], list[_Order]] = {}
+        self._guards: dict[str, GuardAddress] = {}
+        self._added_ms: dict[str, Milliseconds] = {}
+        # Since when links outside the subset have been surplus.
+        self._surplus_since_ms: dict[str, Milliseconds] = {}
 
     def links(self) -> Iterable[GuardLink]:
-        """Return the links to all guards, with or without a session."""
+        """Return the links of the subset, with or without a session."""
         return self._links.values()
 
+    def report_shortage(self, pool: str, label: str) -> None:
+        """Enlarge the subset: a task found no endpoint in a pool.
+
+        ``label`` is the label that the task requires, or empty.
+        """
+        self._subset.demand.report_shortage(pool)
+        if label:
+            self._subset.demand.report_label(pool, label)
+
     def order(
         self,
         guard: str,
@@ -102,28 +129,55 @@
             if link is not None:
                 link.stop(refs)
 
-    def update_links(
-        self,
-        guards: dict[str, GuardAddress],
-        nursery: trio.Nursery,
-    ) -> None:
-        """Open links to new guards and close obsolete links.
+    def replace_guards(self, guards: dict[str, GuardAddress]) -> None:
+        """Replace the guards to choose the subset from."""
+        self._guards = dict(guards)
+        self._subset.update(guards.values())
+
+    def update_links(self, nursery: trio.Nursery) -> None:
+        """Open links to guards that joined the subset and close others.
 
-        A link is obsolete when its guard is not listed, or has another
-        address, and it has neither runs nor an open session.
+        A link is closed when its guard has another address now, or has been
+        outside the subset for a while, and it has no runs.
         """
-        for link in tuple(self._links.values()):
-            if self._is_obsolete(link, guards.get(link.name)):
-                self._scopes.pop(link.name).cancel()
-                self._links.pop(link.name)
-        for name, guard in guards.items():
+        chosen = self._subset.choose(self._is_usable)
+        for name, link in tuple(self._links.items()):
+            if name in chosen:
+                self._surplus_since_ms.pop(name, None)
+            if self._is_obsolete(link, name in chosen):
+                self._close_link(name)
+        for name in chosen:
             if name not in self._links:
-                self._open_link(guard, nursery)
-
-    def _is_obsolete(self, link: GuardLink, guard: GuardAddress | None) -> bool:
-        if guard is not None and guard.link_address == str(link.address):
+                self._open_link(self._guards[name], nursery)
+
+    def _is_usable(self, guard: str) -> bool:
+        """Return whether a guard takes work, as far as is known."""
+        link = self._links.get(guard)
+        if link is None:
+            return True
+        state = link.state
+        if state is not None:
+            return state.accepting
+        return self._clock.now_ms() - self._added_ms[guard] < _OPENING_MS
+
+    def _is_obsolete(self, link: GuardLink, chosen: bool) -> bool:
+        if not link.is_idle:
+            return False
+        guard = self._guards.get(link.name)
+        if guard is not None and guard.link_address != str(link.address):
+            return not link.is_open
+        if chosen:
             return False
-        return link.is_idle and not link.is_open
+        now_ms = self._clock.now_ms()
+        since_ms = self._surplus_since_ms.setdefault(link.name, now_ms)
+        return now_ms - since_ms >= _SURPLUS_MS
+
+    def _close_link(self, name: str) -> None:
+        self._scopes.pop(name).cancel()
+        self._links.pop(name)
+        self._added_ms.pop(name)
+        self._surplus_since_ms.pop(name, None)
+        self._log.event('guard_link_closed', guard=name, links=len(self._links))
 
     def _open_link(self, guard: GuardAddress, nursery: trio.Nursery) -> None:
         address = parse_address(guard.link_address)
@@ -150,6 +204,7 @@
         )
         scope = trio.CancelScope()
         self._links[name] = link
+        self._added_ms[name] = self._clock.now_ms()
         self._scopes[name] = scope
         nursery.start_soon(_run_link, link, scope)
 
--- a/src/borageward/dispatch/guardlink.py
+++ b/src/borageward/dispatch/guardlink.py
@@ -158,6 +158,17 @@
         self._outgoing = [OpenSession(self._entry, self._runs.seen_end)]
         self._posted.set()
         self._last_received_ms = self._clock.now_ms()
+        try:
+            await self._exchange(connection)
+        finally:
+            await connection.close()
+        self._handle_closed()
+
+    async def _exchange(
+        self,
+        connection: FrameConnection[GuardMessage],
+    ) -> None:
+        """Send and receive until the connection is closed."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._write, connection)
             nursery.start_soon(self._send_heartbeats, connection)
@@ -165,8 +176,6 @@
                 await self._read(connection)
             except LinkClosed:
                 nursery.cancel_scope.cancel()
-        await connection.close()
-        self._handle_closed()
 
     async def _connect(self) -> FrameConnection[GuardMessage] | None:
         with trio.move_on_after(_CONNECT_TIMEOUT_MS / _MS_PER_SECOND):
--- a/src/borageward/dispatch/service.py
+++ b/src/borageward/dispatch/service.py
@@ -16,6 +16,7 @@
 from borageward.dispatch.job import Job
 from borageward.dispatch.request import JobOutcome, JobRequest, JobVerdict
 from borageward.messages.runs import RunOutcome, RunRef
+from borageward.policy.guard_subset import GuardSubset
 from borageward.policy.run_placement import GoalPlacement
 from borageward.queues import QueueRoutes
 from borageward.telemetry import EventLog
@@ -25,6 +26,7 @@
 _RETRY_AFTER_MS = 1000.0
 # A request that arrives before the first manifest waits this long for it.
 _MANIFEST_WAIT_MS = 1000.0
+_LINK_UPDATE_INTERVAL_MS = 100.0
 
 CallerFactory = Callable[[trio.Nursery], ReplicaCaller]
 
@@ -35,13 +37,15 @@
     def __init__(
         self,
         seeds: tuple[str, ...],
+        subset: GuardSubset,
         open_calls: CallerFactory,
         clock: Clock,
         log: EventLog,
     ) -> None:
         """Prepare the service; ``start`` opens the connections.
 
-        ``seeds`` are the addresses of the control replicas to poll first.
+        ``seeds`` are the addresses of the control replicas to poll first, and
+        ``subset`` chooses the guards to keep links to.
         ``clock`` must go on while the host is suspended.
         """
         self._seeds = seeds
@@ -49,7 +53,9 @@
         self._clock = clock
         self._log = log
         nonce = secrets.token_hex(_NONCE_BYTES)
-        self._fleet = Fleet(nonce, self._handle_end, self._wake, clock, log)
+        self._fleet = Fleet(
+            nonce, subset, self._handle_end, self._wake, clock, log
+        )
         placement = GoalPlacement(random.Random())
         self._dispatcher = Dispatcher(self._fleet, placement, clock, log)
         self._directory: Directory | None = None
@@ -183,6 +189,7 @@
                 )
                 nursery.start_soon(self._directory.run)
                 nursery.start_soon(self._dispatcher.run)
+                nursery.start_soon(self._update_links, nursery)
                 task_status.started()
 
     def _apply_directory(self) -> None:
@@ -194,9 +201,15 @@
             self._manifest_version = manifest.version
             self._routes = QueueRoutes(manifest.queues)
             self._manifest_received.set()
-        self._fleet.update_links(directory.guards, self._nursery)
+        self._fleet.replace_guards(directory.guards)
+        self._fleet.update_links(self._nursery)
         self._dispatcher.wake()
 
+    async def _update_links(self, nursery: trio.Nursery) -> None:
+        while True:
+            await self._clock.sleep_ms(_LINK_UPDATE_INTERVAL_MS)
+            self._fleet.update_links(nursery)
+
     def _handle_end(
         self,
         guard: str,
--- a/src/borageward/messages/discovery.py
+++ b/src/borageward/messages/discovery.py
@@ -14,12 +14,15 @@
     """Location of a guard.
 
     ``link_address`` is the address that entries connect to, and ``zone`` the
-    availability zone of the host.
+    availability zone of the host. ``pool`` and ``labels`` are those of its
+    endpoint, empty until the endpoint has reported to the guard.
     """
 
     host_name: str
     link_address: str
     zone: str
+    pool: str = ''
+    labels: tuple[str, ...] = ()
 
 
 class AnnounceGuard(Message, frozen=True):
--- a/src/borageward/runs/announcer.py
+++ b/src/borageward/runs/announcer.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from borageward.clock import Clock
+import msgspec
+import trio
+
+from borageward.clock import Clock, Milliseconds
 from borageward.discovery import ReplicaCaller, ReplicaFanout
 from borageward.messages.discovery import (
     AnnounceGuard,
@@ -11,12 +14,13 @@
 )
 from borageward.telemetry import EventLog
 
-_INTERVAL_MS = 1000.0
+_INTERVAL_MS = 2000.0
 # The values for unanswered calls apply until a replica answers, so that one
 # that was down when it was first called is called again soon.
 _UNANSWERED_INTERVAL_MS = 150.0
 _TIMEOUT_MS = 700.0
 _UNANSWERED_TIMEOUT_MS = 200.0
+_MS_PER_SECOND = 1000.0
 
 
 class GuardAnnouncer:
@@ -37,8 +41,20 @@
         self._request = AnnounceGuard(guard)
         self._replicas = ReplicaFanout(seeds, self._announce, clock)
         self._calls = calls
-        self._clock = clock
         self._log = log
+        self._changed = trio.Event()
+
+    def set_endpoint(self, pool: str, labels: tuple[str, ...]) -> None:
+        """Announce the pool and labels of the endpoint at once if changed."""
+        guard = msgspec.structs.replace(
+            self._request.guard,
+            pool=pool,
+            labels=labels,
+        )
+        if guard != self._request.guard:
+            self._request = AnnounceGuard(guard)
+            self._changed.set()
+            self._changed = trio.Event()
 
     def add_seeds(self, seeds: tuple[str, ...]) -> None:
         """Add replica addresses; known addresses are ignored."""
@@ -51,6 +67,7 @@
     async def _announce(self, address: str) -> None:
         answered = False
         while True:
+            changed = self._changed
             timeout_ms = _TIMEOUT_MS if answered else _UNANSWERED_TIMEOUT_MS
             reply = await self._calls.call(address, self._request, timeout_ms)
             if isinstance(reply, Announced):
@@ -60,4 +77,9 @@
                 name = 'replica_regained' if answered else 'replica_lost'
                 self._log.event(name, replica=address)
             interval_ms = _INTERVAL_MS if answered else _UNANSWERED_INTERVAL_MS
-            await self._clock.sleep_ms(interval_ms)
+            await _wait(changed, interval_ms)
+
+
+async def _wait(changed: trio.Event, timeout_ms: Milliseconds) -> None:
+    with trio.move_on_after(timeout_ms / _MS_PER_SECOND):
+        await changed.wait()
--- a/src/borageward/runs/service.py
+++ b/src/borageward/runs/service.py
@@ -5,6 +5,7 @@
 import trio
 
 from borageward.clock import Clock, Milliseconds, SystemClock
+from borageward.runs.announcer import GuardAnnouncer
 from borageward.runs.incarnations import EndpointMonitor, PortFactory
 from borageward.runs.port import EndpointStatus
 from borageward.runs.sessionserver import SessionServer
@@ -44,6 +45,7 @@
         )
         self._sessions.attach(self._monitor)
         self._listener = FrameListener(address, self._sessions.serve)
+        self._announcer: GuardAnnouncer | None = None
         self._scope = trio.CancelScope()
 
     @property
@@ -77,9 +79,15 @@
         self._scope.cancel()
         await self._listener.close()
 
+    def announce_to(self, announcer: GuardAnnouncer) -> None:
+        """Let an announcer know the pool and labels of the endpoint."""
+        self._announcer = announcer
+
     def report(self, status: EndpointStatus) -> None:
         """Process a status report of the endpoint."""
         self._monitor.report(status)
+        if self._announcer is not None:
+            self._announcer.set_endpoint(status.pool, status.labels)
 
     def report_leaving(self, endpoint_id: str) -> None:
         """End the incarnation of an endpoint that is shutting down."""
--- a/src/borageward/runs/sessionserver.py
+++ b/src/borageward/runs/sessionserver.py
@@ -63,6 +63,7 @@
         self._log = log
         self._guard = secrets.token_hex(_NONCE_BYTES)
         self._sessions = SessionTable(clock)
+        self._by_link: dict[EntryLink, Session] = {}
         self._monitor: EndpointMonitor | None = None
         self._changed = trio.Event()
         # The newest state has not been sent to every session.
@@ -102,9 +103,9 @@
             )
             nursery.cancel_scope.cancel()
         await link.close()
-        for session in self._sessions:
-            if session.link is link:
-                session.link = None
+        session = self._by_link.pop(link, None)
+        if session is not None and session.link is link:
+            session.link = None
 
     async def run(self) -> None:
         """Send states and expire sessions until cancelled."""
@@ -121,9 +122,9 @@
         if isinstance(message, OpenSession):
             nursery.start_soon(self._open, link, message)
             return
-        for session in self._sessions:
-            if session.link is link:
-                self._handle_session_message(session, message)
+        session = self._by_link.get(link)
+        if session is not None and session.link is link:
+            self._handle_session_message(session, message)
 
     async def _open(self, link: EntryLink, message: OpenSession) -> None:
         """Open or resume a session.
@@ -136,6 +137,7 @@
         resumed = self._sessions.find(message.entry) is not None
         session = self._sessions.open(message.entry)
         session.link = link
+        self._by_link[link] = session
         session.acknowledge(message.seen_end)
         refs = tuple(run.ref for run in self._table.of_session(message.entry))
         link.post(SessionOpened(self._guard, resumed, refs))
@@ -224,11 +226,8 @@
 
     def _expire(self, session: Session) -> None:
         runs = self._table.of_session(session.entry)
-        self._log.warning(
-            'session_expired',
-            entry=session.entry,
-            runs=len(runs),
-        )
+        report = self._log.warning if runs else self._log.event
+        report('session_expired', entry=session.entry, runs=len(runs))
         self._sessions.remove(session)
         supervisor = self._supervisor()
         if supervisor is not None:
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -252,6 +252,10 @@
         'guard_lost': _warning(
             'guard, runs', 'The link to a guard with a session was closed.'
         ),
+        'guard_link_closed': _info(
+            'guard, links',
+            'A guard left the subset of guards that the entry keeps links to.',
+        ),
         'bad_guard_address': _warning(
             'detail', 'The announced address of a guard cannot be parsed.'
         ),
--- a/tests/control/test_manifests.py
+++ b/tests/control/test_manifests.py
@@ -80,14 +80,22 @@
     leader = await cluster.wait_leader()
     with trio.fail_after(30):
         while True:
-            for process in cluster:
-                known = process.node.leader
-                if process is not leader and known is not None:
-                    if known.voter_id == leader.voter_id:
-                        return process
+            followers = [
+                process
+                for process in cluster
+                if process is not leader and knows(process, leader)
+            ]
+            if followers:
+                return followers[0]
             await trio.sleep(0.01)
 
 
+def knows(process, leader):
+    """Return whether a process follows a leader."""
+    known = process.node.leader
+    return known is not None and known.voter_id == leader.voter_id
+
+
 async def join(cluster, voter_id, address):
     """Start a replica with an empty disk and add it as a learner."""
     process = cluster.add(voter_id, learner=True)
--- a/tests/dispatch/test_dispatch_service.py
+++ b/tests/dispatch/test_dispatch_service.py
@@ -8,6 +8,11 @@
 from borageward.dispatch import DispatchService
 from borageward.failures import Failure, FailureReason
 from borageward.messages.discovery import ClusterView
+from borageward.policy.guard_subset import (
+    GuardSubset,
+    LinkDemand,
+    SubsetSize,
+)
 from borageward.queues import QueueManifest, RequestLimits
 from borageward.telemetry import EventLog
 
@@ -31,10 +36,12 @@
 async def wait_routes(nursery, ready_s):
     """Return the routes and the milliseconds that a caller waited for them."""
     started = trio.current_time()
+    clock = SystemClock()
     service = DispatchService(
         ('a',),
+        GuardSubset('entry', 'zone', LinkDemand(SubsetSize(), clock)),
         lambda _: Replica(started + ready_s),
-        SystemClock(),
+        clock,
         EventLog(),
     )
     await service.start(nursery)
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -54,6 +54,7 @@
         self._links = links
         self.orders = []
         self.stopped = []
+        self.shortages = 0
 
     def links(self):
         """Return the links of the test."""
@@ -63,6 +64,10 @@
         """Record an order."""
         self.orders.append((guard, ref))
 
+    def report_shortage(self, pool, label):
+        """Count the tasks that found no endpoint."""
+        self.shortages += 1
+
     def flush(self):
         """Do nothing; orders are recorded at once."""
 
