Tell a replaced session from a resumed one

Cause: a guard that thaws reads the connections that its entries opened and gave up while it was frozen. The first one opened a new session after the old one had expired, and the connection in use was then told that it had resumed its session. The entry kept the number of the last end that it had seen, and took all ends of the new session, numbered from one, for repetitions: every job with a task there waited until its caller left.

Change: a session has an id, which the entry names when it opens it again; ends are counted and acknowledged within that session. Connections of an entry are numbered, and an older one does not take the session over.

--- a/src/borageward/dispatch/guardlink.py
+++ b/src/borageward/dispatch/guardlink.py
@@ -73,6 +73,7 @@
         self._connection: FrameConnection[GuardMessage] | None = None
         self._state: EndpointState | None = None
         self._opened = False
+        self._attempt = 0
         self._outgoing: list[EntryMessage] = []
         self._posted = trio.Event()
         self._last_received_ms: Milliseconds = 0
@@ -155,7 +156,15 @@
         if connection is None:
             return
         self._connection = connection
-        self._outgoing = [OpenSession(self._entry, self._runs.seen_end)]
+        self._attempt += 1
+        self._outgoing = [
+            OpenSession(
+                self._entry,
+                self._runs.seen_end,
+                self._runs.session,
+                self._attempt,
+            ),
+        ]
         self._posted.set()
         self._last_received_ms = self._clock.now_ms()
         try:
--- a/src/borageward/dispatch/orders.py
+++ b/src/borageward/dispatch/orders.py
@@ -38,12 +38,18 @@
         self._ordered: dict[RunRef, _OrderedRun] = {}
         self._unlisted: tuple[RunRef, ...] = ()
         self._last_order = 0
+        self._session = ''
         self._seen_end = 0
 
     def __len__(self) -> int:
         """Return the number of runs that have not ended."""
         return len(self._ordered)
 
+    @property
+    def session(self) -> str:
+        """Return the session that ``seen_end`` belongs to, or empty."""
+        return self._session
+
     @property
     def seen_end(self) -> int:
         """Return the sequence number of the last end that was handled."""
@@ -86,6 +92,7 @@
         """
         if not message.resumed:
             self._seen_end = 0
+        self._session = message.session
         listed = set(message.refs)
         self._unlisted = tuple(
             ref for ref in self._ordered if ref not in listed
--- a/src/borageward/messages/runs.py
+++ b/src/borageward/messages/runs.py
@@ -101,11 +101,16 @@
     """Open or resume the session of an entry incarnation.
 
     ``entry`` identifies the entry incarnation. ``seen_end`` is the number of
-    the last end that the entry has handled, zero for none.
+    the last end that the entry has handled in ``session``, zero for none; the
+    session is empty before the first one. ``attempt`` increases with each
+    connection of the entry to this guard: a lower one comes from a connection
+    that the entry has given up, which a frozen guard reads after its thaw.
     """
 
     entry: str
     seen_end: int
+    session: str = ''
+    attempt: int = 0
 
 
 class StartRuns(Message, frozen=True):
@@ -155,13 +160,15 @@
 class SessionOpened(Message, frozen=True):
     """Reply to ``OpenSession`` with the runs that have not ended.
 
-    ``guard`` identifies the process of the guard. ``resumed`` is false when
-    the guard did not know the session.
+    ``guard`` identifies the process of the guard and ``session`` the session,
+    within which ends are numbered. ``resumed`` is false when it is not the
+    session that the entry named.
     """
 
     guard: str
     resumed: bool
     refs: tuple[RunRef, ...]
+    session: str = ''
 
 
 class EndpointState(Message, frozen=True):
--- a/src/borageward/runs/sessions.py
+++ b/src/borageward/runs/sessions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 from collections import deque
 from collections.abc import Iterator
 from typing import Protocol
@@ -19,6 +20,11 @@
 # The runs of an entry without a heartbeat for this time are stopped. A caller
 # repeats a job at another entry 1,300 ms after it lost the first one.
 SESSION_TIMEOUT_MS = 900.0
+_SESSION_ID_BYTES = 6
+
+
+def _new_session_id() -> str:
+    return secrets.token_hex(_SESSION_ID_BYTES)
 
 
 class SessionLink(Protocol):
@@ -32,6 +38,9 @@
 class Session:
     """State that the guard keeps for one entry incarnation.
 
+    ``session_id`` identifies the session: an entry whose session has expired
+    gets another one, whose ends are numbered from the beginning. ``attempt`` is
+    the number of the entry's connection that holds the session.
     ``echoed_ms`` is the newest time stamp of this guard that the entry has
     echoed, ``state_sent_ms`` the time of the last state sent to it, and
     ``last_order`` the number of its last start request.
@@ -42,6 +51,8 @@
 
     entry: str
     echoed_ms: Milliseconds
+    session_id: str = attrs.field(factory=_new_session_id)
+    attempt: int = 0
     link: SessionLink | None = None
     last_order: int = 0
     unacknowledged: deque[RunEnd] = attrs.field(factory=deque)
--- a/src/borageward/runs/sessionserver.py
+++ b/src/borageward/runs/sessionserver.py
@@ -134,16 +134,33 @@
         """
         while self._monitor is None or not self._monitor.is_settled:
             await self._clock.sleep_ms(_SETTLE_INTERVAL_MS)
-        resumed = self._sessions.find(message.entry) is not None
+        known = self._sessions.find(message.entry)
+        if known is not None and message.attempt < known.attempt:
+            self._log.event('stale_session_request', entry=message.entry)
+            return
+        resumed = known is not None and message.session == known.session_id
         session = self._sessions.open(message.entry)
+        session.attempt = message.attempt
         session.link = link
         self._by_link[link] = session
-        session.acknowledge(message.seen_end)
-        refs = tuple(run.ref for run in self._table.of_session(message.entry))
-        link.post(SessionOpened(self._guard, resumed, refs))
+        if resumed:
+            session.acknowledge(message.seen_end)
+        self._post_opened(session, link, resumed=resumed)
+
+    def _post_opened(
+        self,
+        session: Session,
+        link: EntryLink,
+        *,
+        resumed: bool,
+    ) -> None:
+        refs = tuple(run.ref for run in self._table.of_session(session.entry))
+        link.post(
+            SessionOpened(self._guard, resumed, refs, session.session_id),
+        )
         self._log.event(
             'session_opened',
-            entry=message.entry,
+            entry=session.entry,
             resumed=resumed,
             runs=len(refs),
         )
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -287,6 +287,10 @@
             'entry, resumed, runs',
             'An entry opened or resumed its session.',
         ),
+        'stale_session_request': _info(
+            'entry',
+            'A connection that the entry has given up asked for a session.',
+        ),
         'session_expired': _warning(
             'entry, runs',
             'An entry was silent for too long; its runs are stopped.',
--- a/tests/dispatch/test_orders.py
+++ b/tests/dispatch/test_orders.py
@@ -97,3 +97,18 @@
     runs.reconcile(SessionOpened('g2', False, (ref(0),)))
     runs.handle_end(RunEnd(1, ref(0), RunOutcome.DONE))
     assert ends == [(ref(0), RunOutcome.DONE)]
+
+
+def test_ends_after_a_replaced_session_are_handled():
+    """Guards against jobs whose ends are ignored until their callers leave.
+
+    The session of a thawed guard is new although the guard knows the entry.
+    """
+    runs, ends = runs_with(0)
+    runs.reconcile(SessionOpened('g', False, (), 'first'))
+    runs.handle_end(RunEnd(5, ref(9), RunOutcome.DONE))
+    assert (runs.session, runs.seen_end) == ('first', 5)
+    runs.reconcile(SessionOpened('g', False, (ref(0),), 'second'))
+    assert (runs.session, runs.seen_end) == ('second', 0)
+    runs.handle_end(RunEnd(1, ref(0), RunOutcome.DONE))
+    assert ends == [(ref(0), RunOutcome.DONE)]
--- a/tests/runs/guardharness.py
+++ b/tests/runs/guardharness.py
@@ -61,8 +61,10 @@
             except LinkClosed:
                 nursery.cancel_scope.cancel()
 
-    async def open(self, seen_end=0):
-        await self.connection.send(OpenSession(self.name, seen_end))
+    async def open(self, seen_end=0, session='', attempt=0):
+        await self.connection.send(
+            OpenSession(self.name, seen_end, session, attempt),
+        )
         while self.state is None:
             await trio.sleep(0.005)
 
--- a/tests/runs/test_guard_runs.py
+++ b/tests/runs/test_guard_runs.py
@@ -6,7 +6,7 @@
 from trio.testing import wait_all_tasks_blocked
 
 from borageward.clock import SystemClock
-
+from borageward.messages.runs import OpenSession
 from tests.runs.guardharness import Guard, ref, running_guard
 
 
@@ -146,13 +146,57 @@
         await entry.connection.close()
         reconnected = await guard.connect()
         nursery.start_soon(reconnected.run)
-        await reconnected.open()
+        await reconnected.open(session=entry.opened[0].session)
         assert reconnected.opened[0].resumed
         assert reconnected.opened[0].refs == (ref(0),)
         await trio.sleep(1)
         assert reconnected.outcomes() == {(0, 1): 'done'}
 
 
+async def test_session_that_replaced_an_expired_one_is_not_resumed(
+    autojump_clock,
+):
+    """Guards against ends that the entry takes for repetitions.
+
+    A guard that was frozen first reads connections that the entry has given up
+    meanwhile. The first of them opens a new session, whose ends are numbered
+    from one; the connection in use must not be told that it resumed the old
+    session.
+    """
+    async with running_guard(work_ms=10) as (guard, _, entry, nursery):
+        await entry.start(0, 1, 2)
+        await trio.sleep(0.3)
+        former = entry.opened[0].session
+        await entry.connection.close()
+        await trio.sleep(1.5)
+        given_up = await guard.connect()
+        nursery.start_soon(given_up.run)
+        await given_up.open(3, former, attempt=2)
+        reconnected = await guard.connect()
+        nursery.start_soon(reconnected.run)
+        await reconnected.open(3, former, attempt=3)
+        assert not reconnected.opened[0].resumed
+        assert reconnected.opened[0].session != former
+
+
+async def test_given_up_connection_does_not_take_the_session(autojump_clock):
+    """Guards against states and ends that go to a closed connection.
+
+    A thawed guard may read the connections of an entry in any order.
+    """
+    async with running_guard(work_ms=50) as (guard, _, entry, nursery):
+        reconnected = await guard.connect()
+        nursery.start_soon(reconnected.run)
+        await reconnected.open(attempt=5)
+        given_up = await guard.connect()
+        nursery.start_soon(given_up.run)
+        await given_up.connection.send(OpenSession(entry.name, 0, '', 4))
+        await trio.sleep(0.05)
+        await reconnected.start(0)
+        await trio.sleep(0.3)
+        assert reconnected.outcomes() == {(0, 1): 'done'}
+
+
 async def test_ends_of_a_lost_connection_are_repeated(autojump_clock):
     """Guards against a run end that is lost with a broken connection.
 
