Spend fewer wake-ups on idle links, logs and discovery

Change: a heartbeat answers a state, start requests extend the session, one task of the entry checks all links, a guard writes the messages queued together at once, log and discovery tasks sleep until there is something to do. EndpointStates takes the composition of states out of SessionServer.

--- a/src/borageward/discovery/fanout.py
+++ b/src/borageward/discovery/fanout.py
@@ -6,10 +6,6 @@
 
 import trio
 
-from borageward.clock import Clock
-
-_CHECK_INTERVAL_MS = 150.0
-
 
 class ReplicaFanout:
     """Starts a function once for each replica address, seeds first."""
@@ -18,7 +14,6 @@
         self,
         seeds: tuple[str, ...],
         run_for_address: Callable[[str], Awaitable[None]],
-        clock: Clock,
     ) -> None:
         """Use the seeds as initial addresses.
 
@@ -27,8 +22,8 @@
         """
         self._addresses = dict.fromkeys(seeds)
         self._run_for_address = run_for_address
-        self._clock = clock
         self._started: set[str] = set()
+        self._added = trio.Event()
 
     def __len__(self) -> int:
         """Return the number of known addresses."""
@@ -37,13 +32,16 @@
     def add(self, addresses: tuple[str, ...]) -> None:
         """Add addresses; tasks are started for those that are new."""
         self._addresses.update(dict.fromkeys(addresses))
+        if len(self._addresses) > len(self._started):
+            self._added.set()
 
     async def run(self) -> None:
         """Start tasks for new addresses until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
                 self._start_new_tasks(nursery)
-                await self._clock.sleep_ms(_CHECK_INTERVAL_MS)
+                await self._added.wait()
+                self._added = trio.Event()
 
     def _start_new_tasks(self, nursery: trio.Nursery) -> None:
         for address in self._addresses:
--- a/src/borageward/dispatch/directory.py
+++ b/src/borageward/dispatch/directory.py
@@ -57,7 +57,7 @@
 
         ``on_change`` is called when the manifest or the guards have changed.
         """
-        self._replicas = ReplicaFanout(seeds, self._poll, clock)
+        self._replicas = ReplicaFanout(seeds, self._poll)
         self._calls = calls
         self._on_change = on_change
         self._clock = clock
--- a/src/borageward/dispatch/fleet.py
+++ b/src/borageward/dispatch/fleet.py
@@ -140,6 +140,8 @@
         A link is closed when its guard has another address now, or has been
         outside the subset for a while, and it has no runs.
         """
+        for known in self._links.values():
+            known.check()
         chosen = self._subset.choose(self._is_usable)
         for name, link in tuple(self._links.items()):
             if name in chosen:
--- a/src/borageward/dispatch/guardlink.py
+++ b/src/borageward/dispatch/guardlink.py
@@ -26,7 +26,8 @@
 from borageward.telemetry import EventLog
 from borageward.transport import Address, FrameConnection, LinkClosed
 
-_HEARTBEAT_INTERVAL_MS = 200.0
+# A heartbeat answers each state, but not more often than this.
+_HEARTBEAT_INTERVAL_MS = 150.0
 # A connection without a message for this time is closed and opened again; the
 # guard sends a state every 200 ms.
 _SILENCE_TIMEOUT_MS = 700.0
@@ -70,7 +71,7 @@
         self._on_change = on_change
         self._clock = clock
         self._log = log
-        self._connection: FrameConnection[GuardMessage] | None = None
+        self._exchange_scope = trio.CancelScope()
         self._state: EndpointState | None = None
         self._opened = False
         self._attempt = 0
@@ -145,17 +146,26 @@
 
     async def run(self) -> None:
         """Keep the session open until cancelled."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._expire_runs)
-            while True:
-                await self._run_connection()
-                await self._clock.sleep_ms(_RECONNECT_DELAY_MS)
+        while True:
+            await self._run_connection()
+            await self._clock.sleep_ms(_RECONNECT_DELAY_MS)
+
+    def check(self) -> None:
+        """Give up a silent connection, and runs whose authority has expired.
+
+        Has to be called at intervals.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms - self._last_received_ms > _SILENCE_TIMEOUT_MS:
+            self._exchange_scope.cancel()
+        elapsed_ms = now_ms - self._last_renewal_ms
+        if not self._opened and elapsed_ms > AUTHORITY_TIMEOUT_MS:
+            self._runs.expire()
 
     async def _run_connection(self) -> None:
         connection = await self._connect()
         if connection is None:
             return
-        self._connection = connection
         self._attempt += 1
         self._outgoing = [
             OpenSession(
@@ -177,10 +187,10 @@
         self,
         connection: FrameConnection[GuardMessage],
     ) -> None:
-        """Send and receive until the connection is closed."""
+        """Send and receive until the connection is closed or silent."""
         async with trio.open_nursery() as nursery:
+            self._exchange_scope = nursery.cancel_scope
             nursery.start_soon(self._write, connection)
-            nursery.start_soon(self._send_heartbeats, connection)
             try:
                 await self._read(connection)
             except LinkClosed:
@@ -199,7 +209,6 @@
         return None
 
     def _handle_closed(self) -> None:
-        self._connection = None
         if self._opened:
             self._log.warning(
                 'guard_lost',
@@ -222,24 +231,9 @@
             try:
                 await connection.send_all(outgoing)
             except LinkClosed:
-                await connection.close()
+                self._exchange_scope.cancel()
                 return
 
-    async def _send_heartbeats(
-        self, connection: FrameConnection[GuardMessage]
-    ) -> None:
-        while True:
-            await self._clock.sleep_ms(_HEARTBEAT_INTERVAL_MS)
-            now_ms = self._clock.now_ms()
-            if now_ms - self._last_received_ms > _SILENCE_TIMEOUT_MS:
-                await connection.close()
-                return
-            if self._opened and self._state is not None:
-                self._last_renewal_ms = now_ms
-                self._post(
-                    SessionHeartbeat(self._state.stamp_ms, self._runs.seen_end)
-                )
-
     async def _read(self, connection: FrameConnection[GuardMessage]) -> None:
         while True:
             message = await connection.receive()
@@ -270,12 +264,12 @@
         self._state = state
         self._opened = True
         self._runs.end_unlisted()
+        self._send_heartbeat(state)
         self._on_change()
 
-    async def _expire_runs(self) -> None:
-        """Report runs as lost once the guard's authority has expired."""
-        while True:
-            await self._clock.sleep_ms(_HEARTBEAT_INTERVAL_MS)
-            elapsed_ms = self._clock.now_ms() - self._last_renewal_ms
-            if not self._opened and elapsed_ms > AUTHORITY_TIMEOUT_MS:
-                self._runs.expire()
+    def _send_heartbeat(self, state: EndpointState) -> None:
+        """Echo the stamp of a state, unless a message has done so recently."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._last_renewal_ms >= _HEARTBEAT_INTERVAL_MS:
+            self._last_renewal_ms = now_ms
+            self._post(SessionHeartbeat(state.stamp_ms, self._runs.seen_end))
--- a/src/borageward/runs/announcer.py
+++ b/src/borageward/runs/announcer.py
@@ -5,7 +5,7 @@
 import msgspec
 import trio
 
-from borageward.clock import Clock, Milliseconds
+from borageward.clock import Milliseconds
 from borageward.discovery import ReplicaCaller, ReplicaFanout
 from borageward.messages.discovery import (
     AnnounceGuard,
@@ -31,7 +31,6 @@
         guard: GuardAddress,
         seeds: tuple[str, ...],
         calls: ReplicaCaller,
-        clock: Clock,
         log: EventLog,
     ) -> None:
         """Prepare to announce to the seeds and the replicas they report.
@@ -39,7 +38,7 @@
         ``seeds`` are the addresses of the replicas known at the start.
         """
         self._request = AnnounceGuard(guard)
-        self._replicas = ReplicaFanout(seeds, self._announce, clock)
+        self._replicas = ReplicaFanout(seeds, self._announce)
         self._calls = calls
         self._log = log
         self._changed = trio.Event()
--- a/src/borageward/runs/link.py
+++ b/src/borageward/runs/link.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 
 import trio
@@ -11,8 +10,6 @@
 from borageward.messages.runs import EntryMessage, GuardMessage
 from borageward.transport import FrameConnection, LinkClosed
 
-_QUEUE_LIMIT = math.inf
-
 
 class EntryLink:
     """Duplex link whose outgoing messages are queued.
@@ -27,17 +24,13 @@
             stream,
             EntryMessage,
         )
-        channels = trio.open_memory_channel[GuardMessage](_QUEUE_LIMIT)
-        self._send_channel = channels[0]
-        self._receive_channel = channels[1]
+        self._outgoing: list[GuardMessage] = []
+        self._posted = trio.Event()
 
     def post(self, message: GuardMessage) -> None:
-        """Queue a message; it is dropped if the link is closed."""
-        try:
-            self._send_channel.send_nowait(message)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            # The read loop handles the end of the link.
-            return
+        """Queue a message; the messages queued together use one write."""
+        self._outgoing.append(message)
+        self._posted.set()
 
     async def run(self, handler: Callable[[EntryMessage], None]) -> None:
         """Pass received messages to the handler until the link is closed."""
@@ -50,7 +43,6 @@
 
     async def close(self) -> None:
         """Close the link; messages that are still queued are not sent."""
-        self._send_channel.close()
         await self._connection.close()
 
     async def _read(self, handler: Callable[[EntryMessage], None]) -> None:
@@ -61,9 +53,13 @@
             handler(message)
 
     async def _write(self) -> None:
-        async for message in self._receive_channel:
+        while True:
+            await self._posted.wait()
+            self._posted = trio.Event()
+            outgoing = self._outgoing
+            self._outgoing = []
             try:
-                await self._connection.send(message)
+                await self._connection.send_all(outgoing)
             except LinkClosed:
                 await self._connection.close()
                 return
--- a/src/borageward/runs/sessions.py
+++ b/src/borageward/runs/sessions.py
@@ -65,6 +65,10 @@
         """Return whether run ends remain to be sent on the current link."""
         return self.last_end > self.reported_end
 
+    def extend(self, echoed_ms: Milliseconds) -> None:
+        """Extend the session from a time stamp that the entry has echoed."""
+        self.echoed_ms = max(self.echoed_ms, echoed_ms)
+
     def add_end(
         self,
         ref: RunRef,
--- a/src/borageward/runs/sessionserver.py
+++ b/src/borageward/runs/sessionserver.py
@@ -6,10 +6,8 @@
 
 import trio
 
-from borageward.clock import Clock, Milliseconds
+from borageward.clock import Clock
 from borageward.messages.runs import (
-    Demand,
-    EndpointState,
     EntryMessage,
     OpenSession,
     RunOutcome,
@@ -21,6 +19,7 @@
     StopRuns,
     TaskKey,
 )
+from borageward.runs.endpointstate import EndpointStates
 from borageward.runs.incarnations import EndpointMonitor
 from borageward.runs.link import EntryLink
 from borageward.runs.sessions import (
@@ -37,12 +36,6 @@
 _STATE_INTERVAL_MS = 200.0
 # Delay before a state is sent, so that one state covers several changes.
 _STATE_DELAY_MS = 3.0
-# Intervals at which an entry without new run ends is sent changes caused by
-# other entries. The interval is shorter while less than _LOW_ROOM_SHARE of the
-# capacity is free, so that two entries rarely choose the same free capacity.
-_LOW_ROOM_STATE_INTERVAL_MS = 30.0
-_NORMAL_STATE_INTERVAL_MS = 100.0
-_LOW_ROOM_SHARE = 0.3
 _EXPIRY_INTERVAL_MS = 100.0
 _SETTLE_INTERVAL_MS = 10.0
 _MS_PER_SECOND = 1000.0
@@ -63,6 +56,7 @@
         self._log = log
         self._guard = secrets.token_hex(_NONCE_BYTES)
         self._sessions = SessionTable(clock)
+        self._states = EndpointStates(table, self._sessions, clock)
         self._by_link: dict[EntryLink, Session] = {}
         self._monitor: EndpointMonitor | None = None
         self._changed = trio.Event()
@@ -177,11 +171,12 @@
         elif isinstance(message, StopRuns):
             self._handle_stops(session, message)
         elif isinstance(message, SessionHeartbeat):
-            session.echoed_ms = max(session.echoed_ms, message.echoed_ms)
+            session.extend(message.echoed_ms)
             session.acknowledge(message.seen_end)
 
     def _handle_starts(self, session: Session, message: StartRuns) -> None:
         session.last_order = message.order
+        session.extend(message.echoed_ms)
         refusal_detail = self._refusal_detail(message)
         for index, number in message.starts:
             task = TaskKey(
@@ -262,13 +257,13 @@
     def _state_wait_s(self) -> float:
         """Return the seconds until a state is due if nothing changes."""
         if self._has_unsent_state:
-            return self._state_interval_ms() / _MS_PER_SECOND
+            return self._states.interval_ms(self._supervisor()) / _MS_PER_SECOND
         return _STATE_INTERVAL_MS / _MS_PER_SECOND
 
     def _post_states(self) -> None:
         """Send states: at once with new run ends, otherwise at intervals."""
         now_ms = self._clock.now_ms()
-        interval_ms = self._state_interval_ms()
+        interval_ms = self._states.interval_ms(self._supervisor())
         self._has_unsent_state = False
         for session in self._sessions:
             age_ms = now_ms - session.state_sent_ms
@@ -277,16 +272,6 @@
             else:
                 self._has_unsent_state = True
 
-    def _state_interval_ms(self) -> Milliseconds:
-        supervisor = self._supervisor()
-        if supervisor is None:
-            return _NORMAL_STATE_INTERVAL_MS
-        capacity = supervisor.endpoint.status.capacity
-        room = capacity.minus(self._table.claimed())
-        if room.cpu_milli < _LOW_ROOM_SHARE * capacity.cpu_milli:
-            return _LOW_ROOM_STATE_INTERVAL_MS
-        return _NORMAL_STATE_INTERVAL_MS
-
     def _post_state(self, session: Session) -> None:
         link = session.link
         if link is None:
@@ -295,38 +280,4 @@
         ends = session.take_unreported()
         if ends:
             link.post(RunsEnded(ends))
-        link.post(self._endpoint_state(session))
-
-    def _endpoint_state(self, session: Session) -> EndpointState:
-        supervisor = self._supervisor()
-        if supervisor is None:
-            return self._missing_endpoint_state(session)
-        status = supervisor.endpoint.status
-        return EndpointState(
-            self._clock.now_ms(),
-            session.last_order,
-            status.endpoint_id,
-            status.pool,
-            status.labels,
-            supervisor.endpoint.accepting,
-            status.capacity,
-            status.capacity.minus(self._table.claimed()),
-            supervisor.slowness,
-            supervisor.failure_share,
-            len(self._sessions),
-        )
-
-    def _missing_endpoint_state(self, session: Session) -> EndpointState:
-        return EndpointState(
-            self._clock.now_ms(),
-            session.last_order,
-            endpoint_id='',
-            pool='',
-            labels=(),
-            accepting=False,
-            capacity=Demand(),
-            room=Demand(),
-            slowness=1,
-            failure_share=0,
-            sessions=len(self._sessions),
-        )
+        link.post(self._states.compose(session, self._supervisor()))
--- a/src/borageward/telemetry/eventmetrics.py
+++ b/src/borageward/telemetry/eventmetrics.py
@@ -29,7 +29,7 @@
         'runs_ordered': 'waited_ms',
     },
 )
-_LAG_SAMPLE_INTERVAL_MS = 100.0
+_LAG_SAMPLE_INTERVAL_MS = 500.0
 
 
 class EventMetrics:
--- a/src/borageward/telemetry/standardoutput.py
+++ b/src/borageward/telemetry/standardoutput.py
@@ -11,6 +11,8 @@
 import os
 from collections import deque
 
+import trio
+
 from borageward.clock import Clock, Milliseconds
 from borageward.telemetry.line import format_line
 
@@ -41,6 +43,7 @@
         self._info_tokens = _MAX_INFO_BURST_LINES
         self._refilled_ms: Milliseconds = clock.now_ms()
         self._dropped = 0
+        self._queued = trio.Event()
         os.set_blocking(descriptor, False)
 
     @property
@@ -59,13 +62,21 @@
             self._queued_bytes += len(encoded)
         else:
             self._dropped += 1
+        self._queued.set()
         return len(line)
 
     async def run(self) -> None:
-        """Write queued lines at regular intervals until cancelled."""
+        """Write queued lines in batches until cancelled.
+
+        Without lines the process is not woken.
+        """
         while True:
+            await self._queued.wait()
             await self._clock.sleep_ms(_FLUSH_INTERVAL_MS)
+            self._queued = trio.Event()
             self.flush()
+            if self._pending:
+                self._queued.set()
 
     def flush(self) -> None:
         """Write as many queued lines as possible without blocking."""
--- a/tests/dispatch/test_fleet.py
+++ b/tests/dispatch/test_fleet.py
@@ -20,12 +20,11 @@
 
 def guards_of(count):
     """Return guards that accept no connection: port 1 is closed."""
-    return {
-        f'guard-{number}': GuardAddress(
-            f'guard-{number}', f'127.0.0.{number % 250 + 1}:1', 'zone', 'pool'
-        )
-        for number in range(count)
-    }
+    guards = {}
+    for number in range(count):
+        name = f'guard-{number}'
+        guards[name] = GuardAddress(name, '127.0.0.1:1', 'zone', 'pool')
+    return guards
 
 
 @pytest.fixture
--- a/tests/runs/guardharness.py
+++ b/tests/runs/guardharness.py
@@ -38,7 +38,8 @@
 class Entry:
     """Entry that follows the protocol.
 
-    While ``frozen`` it sends no heartbeats and ignores received states.
+    While ``frozen`` it sends no heartbeats and ignores received states; while
+    ``silent`` it only sends no heartbeats.
     """
 
     def __init__(self, stream, name='entry-1'):
@@ -51,6 +52,8 @@
         self.opened: list[SessionOpened] = []
         self.ends: list[RunEnd] = []
         self.frozen = False
+        self.silent = False
+        self.received = 0
         self._last_order = 0
 
     async def run(self):
@@ -96,7 +99,7 @@
     async def _send_heartbeats(self):
         while True:
             await trio.sleep(0.2)
-            if self.state is not None and not self.frozen:
+            if self.state is not None and not self.frozen | self.silent:
                 await self.connection.send(
                     SessionHeartbeat(self.state.stamp_ms, len(self.ends)),
                 )
@@ -104,6 +107,7 @@
     async def _read(self):
         while True:
             message = await self.connection.receive()
+            self.received += 1
             if isinstance(message, SessionOpened):
                 self.opened.append(message)
             elif isinstance(message, RunsEnded):
--- a/tests/runs/test_guard_runs.py
+++ b/tests/runs/test_guard_runs.py
@@ -449,3 +449,25 @@
         before_ms = endpoint.estimated_clock_ms()
         clock.suspended_ms = 5000
         assert endpoint.estimated_clock_ms() - before_ms < 100
+
+
+async def test_idle_session_costs_few_messages(autojump_clock):
+    """Guards against heartbeats that use up the processor of a large fleet."""
+    async with running_guard() as (_, _, entry, _):
+        received = entry.received
+        await trio.sleep(2)
+        assert entry.received - received <= 11
+
+
+async def test_entry_that_only_starts_runs_keeps_its_session(autojump_clock):
+    """Guards against an expired session at an entry that is never idle.
+
+    A start request echoes the stamp of a state like a heartbeat does.
+    """
+    async with running_guard(work_ms=50) as (_, _, entry, _):
+        entry.silent = True
+        for index in range(20):
+            await entry.start(index)
+            await trio.sleep(0.1)
+        assert set(entry.outcomes().values()) == {'done'}
+        assert len(entry.ends) >= 19
