--- a/src/borageward/dispatch/guardlink.py
+++ b/src/borageward/dispatch/guardlink.py
@@ -29,7 +29,7 @@
 # A heartbeat answers each state, but not more often than this.
 _HEARTBEAT_INTERVAL_MS = 150.0
 # A connection without a message for this time is closed and opened again; the
-# guard sends a state every 200 ms.
+# guard sends a state at least every 300 ms.
 _SILENCE_TIMEOUT_MS = 700.0
 _CONNECT_TIMEOUT_MS = 500.0
 _RECONNECT_DELAY_MS = 60.0
--- a/src/borageward/runs/sessions.py
+++ b/src/borageward/runs/sessions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import secrets
 from collections import deque
 from collections.abc import Iterator
@@ -125,6 +126,11 @@
         session.reported_end = 0
         return session
 
+    def first_expiry_ms(self) -> Milliseconds:
+        """Return when the first session expires; infinite without sessions."""
+        oldest_ms = min((item.echoed_ms for item in self), default=math.inf)
+        return oldest_ms + SESSION_TIMEOUT_MS
+
     def expired(self) -> list[Session]:
         """Return the sessions whose last echoed time stamp is too old."""
         oldest_ms = self._clock.now_ms() - SESSION_TIMEOUT_MS
--- a/src/borageward/runs/sessionserver.py
+++ b/src/borageward/runs/sessionserver.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from borageward.clock import Clock
+from borageward.clock import Clock, Milliseconds
 from borageward.messages.runs import (
     EntryMessage,
     OpenSession,
@@ -33,10 +33,12 @@
 
 _NONCE_BYTES = 6
 # The state is sent at least this often and serves as a heartbeat.
-_STATE_INTERVAL_MS = 200.0
+_STATE_INTERVAL_MS = 300.0
 # Delay before a state is sent, so that one state covers several changes.
 _STATE_DELAY_MS = 3.0
-_EXPIRY_INTERVAL_MS = 100.0
+# Shortest and longest time between two checks for expired sessions.
+_MIN_EXPIRY_WAIT_MS = 30.0
+_MAX_EXPIRY_WAIT_MS = SESSION_TIMEOUT_MS / 2
 _SETTLE_INTERVAL_MS = 10.0
 _MS_PER_SECOND = 1000.0
 
@@ -232,10 +234,15 @@
 
     async def _expire_sessions(self) -> None:
         while True:
-            await self._clock.sleep_ms(_EXPIRY_INTERVAL_MS)
+            await self._clock.sleep_ms(self._expiry_wait_ms())
             for session in self._sessions.expired():
                 self._expire(session)
 
+    def _expiry_wait_ms(self) -> Milliseconds:
+        """Return the time until a session expires that is not extended."""
+        wait_ms = self._sessions.first_expiry_ms() - self._clock.now_ms()
+        return min(_MAX_EXPIRY_WAIT_MS, max(_MIN_EXPIRY_WAIT_MS, wait_ms))
+
     def _expire(self, session: Session) -> None:
         runs = self._table.of_session(session.entry)
         report = self._log.warning if runs else self._log.event
