Send idle sessions fewer states, and no orders to guards that do not answer

Cause: a guard sent a state to every session each 300 ms, changed or not, and an entry noticed a frozen guard only after 700 ms of silence, while every job ordered there in the meantime is lost for 2,150 ms.

Change: sessions without runs get a state each 600 ms unless something has changed, and outlive 3 s of silence; a guard that has not answered an order for 250 ms gets no further ones until it does.

--- a/src/borageward/dispatch/candidates.py
+++ b/src/borageward/dispatch/candidates.py
@@ -42,7 +42,7 @@
         self._usage: dict[str, _Usage] = {}
         for link in fleet.links():
             state = link.state
-            if state is not None and state.accepting:
+            if state is not None and state.accepting and link.is_answering:
                 self._add(link, state)
 
     def of_pool(self, pool: str) -> list[Candidate]:
--- a/src/borageward/dispatch/guardlink.py
+++ b/src/borageward/dispatch/guardlink.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Sequence
 
 import msgspec
@@ -28,9 +29,14 @@
 
 # A heartbeat answers each state, but not more often than this.
 _HEARTBEAT_INTERVAL_MS = 150.0
-# A connection without a message for this time is closed and opened again; the
-# guard sends a state at least every 300 ms.
+# A connection without a message for this time is closed and opened again. The
+# guard sends a state at least every 300 ms to an entry that has runs there, and
+# every 600 ms to others.
 _SILENCE_TIMEOUT_MS = 700.0
+_IDLE_SILENCE_TIMEOUT_MS = 1500.0
+# A guard answers each order with a state. One that has not done so for this
+# time may be frozen or cut off, and gets no further orders until it answers.
+_ORDER_ANSWER_MS = 250.0
 _CONNECT_TIMEOUT_MS = 500.0
 _RECONNECT_DELAY_MS = 60.0
 # Time from the last heartbeat until no run of the session can still be running:
@@ -74,6 +80,7 @@
         self._exchange_scope = trio.CancelScope()
         self._state: EndpointState | None = None
         self._opened = False
+        self._unanswered_since_ms: Milliseconds = math.inf
         self._attempt = 0
         self._outgoing: list[EntryMessage] = []
         self._posted = trio.Event()
@@ -105,6 +112,12 @@
         """Return whether the session is open."""
         return self._opened
 
+    @property
+    def is_answering(self) -> bool:
+        """Return whether the guard has answered all but recent orders."""
+        unanswered_ms = self._clock.now_ms() - self._unanswered_since_ms
+        return unanswered_ms < _ORDER_ANSWER_MS
+
     def room(self) -> Demand:
         """Return the room left after the orders that the state lacks."""
         state = self._state
@@ -129,7 +142,9 @@
         the values of this link.
         """
         state = self._state
-        self._last_renewal_ms = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        self._last_renewal_ms = now_ms
+        self._unanswered_since_ms = min(self._unanswered_since_ms, now_ms)
         self._post(
             msgspec.structs.replace(
                 message,
@@ -156,14 +171,17 @@
         Has to be called at intervals.
         """
         now_ms = self._clock.now_ms()
-        if now_ms - self._last_received_ms > _SILENCE_TIMEOUT_MS:
+        timeout_ms = (
+            _SILENCE_TIMEOUT_MS if self._runs else _IDLE_SILENCE_TIMEOUT_MS
+        )
+        if now_ms - self._last_received_ms > timeout_ms:
             self._exchange_scope.cancel()
         elapsed_ms = now_ms - self._last_renewal_ms
         if not self._opened and elapsed_ms > AUTHORITY_TIMEOUT_MS:
             self._runs.expire()
 
     async def _run_connection(self) -> None:
-        connection = await self._connect()
+        connection = await _connect(self._address)
         if connection is None:
             return
         self._attempt += 1
@@ -196,18 +214,6 @@
             except LinkClosed:
                 nursery.cancel_scope.cancel()
 
-    async def _connect(self) -> FrameConnection[GuardMessage] | None:
-        with trio.move_on_after(_CONNECT_TIMEOUT_MS / _MS_PER_SECOND):
-            try:
-                stream = await trio.open_tcp_stream(
-                    self._address.host,
-                    self._address.port,
-                )
-            except OSError:
-                return None
-            return FrameConnection(stream, GuardMessage)
-        return None
-
     def _handle_closed(self) -> None:
         if self._opened:
             self._log.warning(
@@ -252,6 +258,7 @@
             self._handle_state(message)
 
     def _handle_opened(self, message: SessionOpened) -> None:
+        self._unanswered_since_ms = math.inf
         self.stop(self._runs.reconcile(message))
         self._log.event(
             'guard_found',
@@ -263,6 +270,8 @@
     def _handle_state(self, state: EndpointState) -> None:
         self._state = state
         self._opened = True
+        if self._runs.is_answered(state):
+            self._unanswered_since_ms = math.inf
         self._runs.end_unlisted()
         self._send_heartbeat(state)
         self._on_change()
@@ -273,3 +282,13 @@
         if now_ms - self._last_renewal_ms >= _HEARTBEAT_INTERVAL_MS:
             self._last_renewal_ms = now_ms
             self._post(SessionHeartbeat(state.stamp_ms, self._runs.seen_end))
+
+
+async def _connect(address: Address) -> FrameConnection[GuardMessage] | None:
+    with trio.move_on_after(_CONNECT_TIMEOUT_MS / _MS_PER_SECOND):
+        try:
+            stream = await trio.open_tcp_stream(address.host, address.port)
+        except OSError:
+            return None
+        return FrameConnection(stream, GuardMessage)
+    return None
--- a/src/borageward/dispatch/orders.py
+++ b/src/borageward/dispatch/orders.py
@@ -64,6 +64,10 @@
         self._last_order += 1
         return self._last_order
 
+    def is_answered(self, state: EndpointState) -> bool:
+        """Return whether a state counts all orders."""
+        return state.last_order >= self._last_order
+
     def room(self, state: EndpointState) -> Demand:
         """Return the room left after the orders that a state lacks.
 
--- a/src/borageward/runs/sessions.py
+++ b/src/borageward/runs/sessions.py
@@ -5,7 +5,7 @@
 import math
 import secrets
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterator, Set
 from typing import Protocol
 
 import attrs
@@ -21,6 +21,8 @@
 # The runs of an entry without a heartbeat for this time are stopped. A caller
 # repeats a job at another entry 1,300 ms after it lost the first one.
 SESSION_TIMEOUT_MS = 900.0
+# A session without runs has no authority to lose, and is kept for longer.
+_IDLE_SESSION_TIMEOUT_MS = 3000.0
 _SESSION_ID_BYTES = 6
 
 
@@ -43,7 +45,8 @@
     gets another one, whose ends are numbered from the beginning. ``attempt`` is
     the number of the entry's connection that holds the session.
     ``echoed_ms`` is the newest time stamp of this guard that the entry has
-    echoed, ``state_sent_ms`` the time of the last state sent to it, and
+    echoed, ``state_sent_ms`` the time of the last state sent to it,
+    ``sent_version`` the number of changes that this state contained, and
     ``last_order`` the number of its last start request.
     ``unacknowledged`` holds run ends until the entry has acknowledged them;
     ``last_end`` is the number of the last one, ``reported_end`` of the last
@@ -60,6 +63,7 @@
     last_end: int = 0
     reported_end: int = 0
     state_sent_ms: Milliseconds = 0
+    sent_version: int = -1
 
     @property
     def has_unreported(self) -> bool:
@@ -131,12 +135,25 @@
         oldest_ms = min((item.echoed_ms for item in self), default=math.inf)
         return oldest_ms + SESSION_TIMEOUT_MS
 
-    def expired(self) -> list[Session]:
-        """Return the sessions whose last echoed time stamp is too old."""
-        oldest_ms = self._clock.now_ms() - SESSION_TIMEOUT_MS
-        return [item for item in self if item.echoed_ms < oldest_ms]
+    def expired(self, busy: Set[str]) -> list[Session]:
+        """Return the sessions whose last echoed time stamp is too old.
+
+        ``busy`` names the entries that have runs.
+        """
+        now_ms = self._clock.now_ms()
+        return [
+            item
+            for item in self
+            if now_ms - item.echoed_ms > _timeout_ms(item, busy)
+        ]
 
     def remove(self, session: Session) -> None:
         """Remove a session unless a newer one has replaced it."""
         if self._sessions.get(session.entry) is session:
             self._sessions.pop(session.entry)
+
+
+def _timeout_ms(session: Session, busy: Set[str]) -> Milliseconds:
+    if session.entry in busy:
+        return SESSION_TIMEOUT_MS
+    return _IDLE_SESSION_TIMEOUT_MS
--- a/src/borageward/runs/sessionserver.py
+++ b/src/borageward/runs/sessionserver.py
@@ -32,8 +32,10 @@
 from borageward.telemetry import EventLog
 
 _NONCE_BYTES = 6
-# The state is sent at least this often and serves as a heartbeat.
+# The state serves as a heartbeat: it is sent at least this often to entries
+# with runs, and at least at the second interval to the others.
 _STATE_INTERVAL_MS = 300.0
+_IDLE_STATE_INTERVAL_MS = 600.0
 # Delay before a state is sent, so that one state covers several changes.
 _STATE_DELAY_MS = 3.0
 # Shortest and longest time between two checks for expired sessions.
@@ -62,6 +64,8 @@
         self._by_link: dict[EntryLink, Session] = {}
         self._monitor: EndpointMonitor | None = None
         self._changed = trio.Event()
+        # Number of changes of the state.
+        self._version = 0
         # The newest state has not been sent to every session.
         self._has_unsent_state = False
 
@@ -70,6 +74,11 @@
         """Return whether the entries have acknowledged all run ends."""
         return not any(session.unacknowledged for session in self._sessions)
 
+    @property
+    def open_sessions(self) -> int:
+        """Return the number of sessions."""
+        return len(self._sessions)
+
     def attach(self, monitor: EndpointMonitor) -> None:
         """Set the monitor of the endpoint at which runs start."""
         self._monitor = monitor
@@ -235,7 +244,7 @@
     async def _expire_sessions(self) -> None:
         while True:
             await self._clock.sleep_ms(self._expiry_wait_ms())
-            for session in self._sessions.expired():
+            for session in self._sessions.expired(self._table.sessions()):
                 self._expire(session)
 
     def _expiry_wait_ms(self) -> Milliseconds:
@@ -258,7 +267,9 @@
             with trio.move_on_after(self._state_wait_s()):
                 await self._changed.wait()
             await self._clock.sleep_ms(_STATE_DELAY_MS)
-            self._changed = trio.Event()
+            if self._changed.is_set():
+                self._changed = trio.Event()
+                self._version += 1
             self._post_states()
 
     def _state_wait_s(self) -> float:
@@ -268,15 +279,20 @@
         return _STATE_INTERVAL_MS / _MS_PER_SECOND
 
     def _post_states(self) -> None:
-        """Send states: at once with new run ends, otherwise at intervals."""
+        """Send the states that are due; at once with new run ends."""
         now_ms = self._clock.now_ms()
         interval_ms = self._states.interval_ms(self._supervisor())
+        busy = self._table.sessions()
         self._has_unsent_state = False
         for session in self._sessions:
+            is_changed = session.sent_version < self._version
+            due_ms = interval_ms if is_changed else _IDLE_STATE_INTERVAL_MS
+            if session.entry in busy:
+                due_ms = min(due_ms, _STATE_INTERVAL_MS)
             age_ms = now_ms - session.state_sent_ms
-            if session.has_unreported or age_ms >= interval_ms:
+            if session.has_unreported or age_ms >= due_ms:
                 self._post_state(session)
-            else:
+            elif is_changed:
                 self._has_unsent_state = True
 
     def _post_state(self, session: Session) -> None:
@@ -284,6 +300,7 @@
         if link is None:
             return
         session.state_sent_ms = self._clock.now_ms()
+        session.sent_version = self._version
         ends = session.take_unreported()
         if ends:
             link.post(RunsEnded(ends))
--- a/src/borageward/runs/table.py
+++ b/src/borageward/runs/table.py
@@ -91,6 +91,10 @@
         """Return the runs of a session."""
         return [run for run in self if run.session == session]
 
+    def sessions(self) -> set[str]:
+        """Return the sessions that have runs."""
+        return {run.session for run in self._runs.values()}
+
     def waiting(self) -> list[Run]:
         """Return the waiting runs in ascending rank."""
         waiting = [run for run in self if run.state is RunState.WAITING]
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -25,6 +25,7 @@
     def __init__(self, name, room=CAPACITY, **state):
         self.name = name
         self._room = room
+        self.is_answering = True
         fields = {'accepting': True, 'slowness': 1, 'failure_share': 0, **state}
         self.state = EndpointState(
             0,
@@ -239,3 +240,15 @@
         dispatcher.add(item)
     await trio.sleep(0.5)
     assert all(item.outcome is None for item in jobs)
+
+
+async def test_guard_that_does_not_answer_is_left_out(
+    start_dispatcher, autojump_clock
+):
+    """Guards against jobs sent to a guard that froze a moment ago."""
+    silent, answering = Link('silent'), Link('answering')
+    silent.is_answering = False
+    dispatcher, fleet = start_dispatcher(silent, answering)
+    dispatcher.add(job(count=3))
+    await trio.sleep(0.1)
+    assert {guard for guard, _ in fleet.orders} == {'answering'}
--- /dev/null
+++ b/tests/dispatch/test_guardlink.py
@@ -0,0 +1,121 @@
+"""Link of an entry to a guard that stops answering."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from borageward.clock import SystemClock
+from borageward.dispatch.guardlink import GuardLink
+from borageward.messages.runs import (
+    Demand,
+    EndpointState,
+    EntryMessage,
+    OpenSession,
+    RunRef,
+    SessionOpened,
+    StartRuns,
+    TaskKey,
+)
+from borageward.telemetry import EventLog
+from borageward.transport import Address, FrameConnection, LinkClosed
+
+CAPACITY = Demand(8000, 8000)
+
+
+class SilentGuard:
+    """Guard that opens sessions, and answers orders while ``answers``."""
+
+    def __init__(self):
+        self.answers = True
+        self.last_order = 0
+
+    def state(self):
+        """Return the state of an idle endpoint."""
+        return EndpointState(
+            0,
+            self.last_order,
+            'e',
+            'pool',
+            (),
+            accepting=True,
+            capacity=CAPACITY,
+            room=CAPACITY,
+            slowness=1,
+            failure_share=0,
+            sessions=1,
+        )
+
+    async def serve(self, stream):
+        """Serve a connection until it is closed."""
+        connection = FrameConnection(stream, EntryMessage)
+        try:
+            await self._serve(connection)
+        except LinkClosed:
+            await connection.close()
+
+    async def _serve(self, connection):
+        while True:
+            message = await connection.receive()
+            if isinstance(message, OpenSession):
+                await connection.send(SessionOpened('g', True, (), 's'))
+                await connection.send(self.state())
+            elif isinstance(message, StartRuns) and self.answers:
+                self.last_order = message.order
+                await connection.send(self.state())
+
+
+@pytest.fixture
+async def linked(nursery):
+    """Return a guard and an open link to it."""
+    guard = SilentGuard()
+    listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+    nursery.start_soon(trio.serve_listeners, guard.serve, listeners)
+    port = listeners[0].socket.getsockname()[1]
+    link = GuardLink(
+        'guard',
+        Address('127.0.0.1', port),
+        'entry',
+        lambda *_: None,
+        lambda: None,
+        SystemClock(),
+        EventLog(),
+    )
+    nursery.start_soon(link.run)
+    with trio.fail_after(10):
+        while not link.is_open:
+            await trio.sleep(0.01)
+    return guard, link
+
+
+def order(link, index):
+    """Order a run of a task."""
+    link.reserve(RunRef(TaskKey('job', 0, 0, index), 1), Demand(1000))
+    message = StartRuns(0, 'job', 0, 0, (), 'spec', Demand(1000), 100, 50, 0)
+    link.start(message, ((index, 1),))
+
+
+async def test_guard_that_leaves_an_order_unanswered_gets_no_more(linked):
+    """Guards against many jobs lost at a guard that froze a moment ago.
+
+    Its connection is given up later, when it has been silent for long enough.
+    """
+    guard, link = linked
+    guard.answers = False
+    order(link, 0)
+    assert link.is_answering
+    with trio.fail_after(10):
+        while link.is_answering:
+            await trio.sleep(0.01)
+    assert link.is_open
+
+
+async def test_guard_that_answers_orders_is_used_further(linked):
+    """Guards against a healthy guard that is left out after each order."""
+    guard, link = linked
+    order(link, 0)
+    with trio.fail_after(10):
+        while link.state.last_order == 0:
+            await trio.sleep(0.01)
+    await trio.sleep(0.3)
+    assert link.is_answering
