--- a/src/borageward/dispatch/service.py
+++ b/src/borageward/dispatch/service.py
@@ -123,12 +123,13 @@
             self._dispatcher.add(job)
             self._log_accepted(job)
         job.callers += 1
+        outcome = JobOutcome(JobVerdict.EXPIRED, 'caller left')
         try:
             outcome = await self._wait_for_outcome(job, request.deadline_ms)
         finally:
             job.callers -= 1
             if not job.callers:
-                self._end_job(job)
+                self._end_job(job, outcome)
         return outcome
 
     def cancel(self, job: Job) -> None:
@@ -147,20 +148,19 @@
             verdict = JobVerdict.EXPIRED
         return JobOutcome(verdict, 'deadline passed', _RETRY_AFTER_MS)
 
-    def _end_job(self, job: Job) -> None:
-        job.end(JobOutcome(JobVerdict.EXPIRED, 'caller left'))
+    def _end_job(self, job: Job, outcome: JobOutcome) -> None:
+        """Stop a job that has no callers left, with their outcome."""
+        job.end(outcome)
         self._dispatcher.remove(job)
-        outcome = job.outcome
-        if outcome is not None:
-            self._log.event(
-                'job_ended',
-                job=job.request.job_id,
-                verdict=outcome.verdict.value,
-                reason=outcome.reason,
-                took_ms=round(self._clock.now_ms() - job.goal.arrived_ms),
-                goal_ms=round(job.goal.goal_ms - job.goal.arrived_ms),
-                guards=job.guards(),
-            )
+        self._log.event(
+            'job_ended',
+            job=job.request.job_id,
+            verdict=outcome.verdict.value,
+            reason=outcome.reason,
+            took_ms=round(self._clock.now_ms() - job.goal.arrived_ms),
+            goal_ms=round(job.goal.goal_ms - job.goal.arrived_ms),
+            guards=job.guards(),
+        )
 
     def _log_accepted(self, job: Job) -> None:
         request = job.request
--- a/tests/dispatch/test_dispatch_service.py
+++ b/tests/dispatch/test_dispatch_service.py
@@ -1,19 +1,20 @@
-"""Tests of requests that arrive before the entry's first manifest."""
+"""The dispatch service of an entry: first manifest, and ends of jobs."""
 
 from __future__ import annotations
 
 import trio
 
 from borageward.clock import SystemClock
-from borageward.dispatch import DispatchService
+from borageward.dispatch import DispatchService, JobRequest, StepSpec
 from borageward.failures import Failure, FailureReason
 from borageward.messages.discovery import ClusterView
+from borageward.messages.runs import Demand
 from borageward.policy.guard_subset import (
     GuardSubset,
     LinkDemand,
     SubsetSize,
 )
-from borageward.queues import QueueManifest, RequestLimits
+from borageward.queues import Queue, QueueManifest, RequestLimits
 from borageward.telemetry import EventLog
 
 MANIFEST = QueueManifest(3, (), (), RequestLimits(1000, 1000, 1000, 1000), b'')
@@ -33,8 +34,20 @@
         return ClusterView(MANIFEST, 1, (), ())
 
 
-async def wait_routes(nursery, ready_s):
-    """Return the routes and the milliseconds that a caller waited for them."""
+class RecordingLog(EventLog):
+    """Event log that keeps the fields of the last event of each name."""
+
+    def __init__(self):
+        super().__init__()
+        self.last = {}
+
+    def event(self, name, **fields):
+        """Keep the fields of an event."""
+        self.last[name] = fields
+
+
+async def start_service(nursery, ready_s=0, log=None):
+    """Return a service whose replica answers ``ready_s`` from now on."""
     started = trio.current_time()
     clock = SystemClock()
     service = DispatchService(
@@ -42,9 +55,23 @@
         GuardSubset('entry', 'zone', LinkDemand(SubsetSize(), clock)),
         lambda _: Replica(started + ready_s),
         clock,
-        EventLog(),
+        log or EventLog(),
     )
     await service.start(nursery)
+    return service
+
+
+def request(deadline_ms):
+    """Return a request for a job that no endpoint can run."""
+    queue = Queue('q', 'host', '/q/', 'pool', 0, 2, 1.6, 60, 1500)
+    steps = (StepSpec(1, Demand(1000, 10), 100),)
+    return JobRequest('job', 'spec', steps, queue, deadline_ms)
+
+
+async def wait_routes(nursery, ready_s):
+    """Return the routes and the milliseconds that a caller waited for them."""
+    started = trio.current_time()
+    service = await start_service(nursery, ready_s)
     routes = await service.wait_routes()
     return routes, (trio.current_time() - started) * 1000
 
@@ -70,3 +97,25 @@
     routes, waited_ms = await wait_routes(nursery, 60)
     assert routes is None
     assert waited_ms <= 1001
+
+
+async def test_log_says_that_the_deadline_of_a_job_has_passed(
+    nursery, autojump_clock
+):
+    """Guards against a log that blames the caller for a missed deadline."""
+    log = RecordingLog()
+    service = await start_service(nursery, log=log)
+    await service.submit(request(deadline_ms=300))
+    assert log.last['job_ended']['reason'] == 'deadline passed'
+    assert log.last['job_ended']['verdict'] == 'refused'
+
+
+async def test_log_says_that_the_caller_of_a_job_has_left(
+    nursery, autojump_clock
+):
+    """Guards against a log that hides callers who give up."""
+    log = RecordingLog()
+    service = await start_service(nursery, log=log)
+    with trio.move_on_after(0.1):
+        await service.submit(request(deadline_ms=3000))
+    assert log.last['job_ended']['reason'] == 'caller left'
