Import the metrics library with the first scrape

Cause: prometheus_client takes 39 of the 234 ms that a guard spends on imports (python -X importtime, deploy build), because it brings an HTTP server and client; a restart is an outage of that length.

Change: events and latencies are counted in dictionaries of our own; the library renders them when the metrics address is asked.

--- a/src/borageward/telemetry/eventmetrics.py
+++ b/src/borageward/telemetry/eventmetrics.py
@@ -1,23 +1,20 @@
-"""Event counters and latency histograms in the Prometheus text format."""
+"""Event counters and latency histograms in the Prometheus text format.
+
+The library that writes the format is imported with the first scrape: its
+import takes a tenth of the start of a process, and no process needs it to
+serve its callers.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+import collections
+from collections.abc import Iterator, Mapping
 from types import MappingProxyType
 from typing import Any
 
-from prometheus_client import (
-    CollectorRegistry,
-    Counter,
-    Histogram,
-    generate_latest,
-)
-
 from borageward.clock import Clock
+from borageward.telemetry.histogram import LatencyHistogram
 
-_BUCKETS_MS = tuple(
-    base * scale for scale in (1, 10, 100, 1000) for base in (1, 2, 5)
-)
 # Fields that become the label ``result``; the first one present is used. Only
 # fields with few different values qualify, as each value adds a time series.
 _RESULT_FIELDS = ('verdict', 'outcome')
@@ -39,35 +36,21 @@
     """
 
     def __init__(self) -> None:
-        """Create the metrics in a registry of their own."""
-        self._registry = CollectorRegistry()
-        self._events = Counter(
-            'borageward_events',
-            'Events by name and result.',
-            ('event', 'result'),
-            registry=self._registry,
-        )
-        self._latencies = Histogram(
-            'borageward_event_ms',
-            'Latency that an event reports, in milliseconds.',
-            ('event',),
-            buckets=_BUCKETS_MS,
-            registry=self._registry,
-        )
-        self._lag = Histogram(
-            'borageward_loop_lag_ms',
-            'Delay of a timer of the event loop, in milliseconds.',
-            buckets=_BUCKETS_MS,
-            registry=self._registry,
+        """Start without events."""
+        self._events: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
         )
+        self._latencies: dict[str, LatencyHistogram] = {}
+        self._lag = LatencyHistogram()
 
     def observe(self, name: str, fields: Mapping[str, Any]) -> None:
         """Count an event and record the latency that it reports, if any."""
         results = (fields[key] for key in _RESULT_FIELDS if key in fields)
-        self._events.labels(name, next(results, '')).inc()
-        latency = fields.get(_LATENCY_FIELDS.get(name, ''))
-        if latency is not None:
-            self._latencies.labels(name).observe(latency)
+        self._events[(name, str(next(results, '')))] += 1
+        latency_ms = fields.get(_LATENCY_FIELDS.get(name, ''))
+        if latency_ms is not None:
+            histogram = self._latencies.setdefault(name, LatencyHistogram())
+            histogram.observe(latency_ms)
 
     async def watch_loop(self, clock: Clock) -> None:
         """Record by how much timers of the event loop are late.
@@ -80,6 +63,43 @@
             lag_ms = clock.now_ms() - started_ms - _LAG_SAMPLE_INTERVAL_MS
             self._lag.observe(max(0, lag_ms))
 
+    def collect(self) -> Iterator[Any]:
+        """Return the families of metrics for a scrape."""
+        from prometheus_client.core import (  # noqa: WPS433
+            CounterMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        events = CounterMetricFamily(
+            'borageward_events',
+            'Events by name and result.',
+            labels=('event', 'result'),
+        )
+        for labels, count in self._events.items():
+            events.add_metric(labels, count)
+        yield events
+        latencies = HistogramMetricFamily(
+            'borageward_event_ms',
+            'Latency that an event reports, in milliseconds.',
+            labels=('event',),
+        )
+        for name, histogram in self._latencies.items():
+            latencies.add_metric((name,), histogram.buckets(), histogram.sum_ms)
+        yield latencies
+        lag = HistogramMetricFamily(
+            'borageward_loop_lag_ms',
+            'Delay of a timer of the event loop, in milliseconds.',
+        )
+        lag.add_metric((), self._lag.buckets(), self._lag.sum_ms)
+        yield lag
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        return generate_latest(self._registry)
+        from prometheus_client import (  # noqa: WPS433
+            CollectorRegistry,
+            generate_latest,
+        )
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry)
--- a/tests/telemetry/test_standard_output.py
+++ b/tests/telemetry/test_standard_output.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import os
+import subprocess
+import sys
 
 import pytest
 import trio
@@ -111,3 +113,12 @@
     name = 'borageward_events_total{event="job_ended",result="completed"}'
     assert f'{name} 2.0' in text
     assert 'borageward_event_ms_count{event="job_ended"} 3.0' in text
+
+
+def test_scrape_library_is_not_imported_at_the_start():
+    """Guards against a restart that takes longer than it has to."""
+    code = (
+        'import sys; import borageward.telemetry.eventmetrics; '
+        'sys.exit("prometheus_client" in sys.modules)'
+    )
+    subprocess.run((sys.executable, '-c', code), check=True)
