--- a/src/borageward/dispatch/dispatcher.py
+++ b/src/borageward/dispatch/dispatcher.py
@@ -62,6 +62,8 @@
         self._jobs: dict[str, Job] = {}
         self._started_ms = clock.now_ms()
         self._wake = trio.Event()
+        # Whether the last placement round left tasks without an endpoint.
+        self._has_unplaced = False
 
     @property
     def jobs(self) -> dict[str, Job]:
@@ -83,6 +85,15 @@
         """Start another placement round."""
         self._wake.set()
 
+    def handle_state(self) -> None:
+        """Start another placement round if tasks wait for an endpoint.
+
+        Most states arrive while nothing waits; a round for each of them would
+        use more of the processor than the placement itself.
+        """
+        if self._has_unplaced:
+            self.wake()
+
     def handle_end(
         self,
         guard: str,
@@ -103,7 +114,8 @@
             return
         self._log_end(guard, ref, outcome, detail)
         _apply_outcome(job, task, outcome)
-        self.wake()
+        if self._has_unplaced or job.waiting():
+            self.wake()
 
     async def run(self) -> None:
         """Place tasks until cancelled."""
@@ -115,6 +127,7 @@
     def _dispatch(self) -> None:
         """Place the tasks that fit and refuse jobs that would wait too long."""
         waiting_tasks = self._waiting_by_slack()
+        self._has_unplaced = False
         if not waiting_tasks:
             return
         candidates = Candidates(self._fleet)
@@ -124,6 +137,7 @@
                 unplaced.append(waiting)
             elif not self._place(waiting, candidates):
                 unplaced.append(waiting)
+        self._has_unplaced = bool(unplaced)
         self._refuse_excess(unplaced, candidates)
         self._fleet.flush()
 
--- a/src/borageward/dispatch/service.py
+++ b/src/borageward/dispatch/service.py
@@ -54,7 +54,7 @@
         self._log = log
         nonce = secrets.token_hex(_NONCE_BYTES)
         self._fleet = Fleet(
-            nonce, subset, self._handle_end, self._wake, clock, log
+            nonce, subset, self._handle_end, self._handle_state, clock, log
         )
         placement = GoalPlacement(random.Random())
         self._dispatcher = Dispatcher(self._fleet, placement, clock, log)
@@ -209,6 +209,8 @@
         while True:
             await self._clock.sleep_ms(_LINK_UPDATE_INTERVAL_MS)
             self._fleet.update_links(nursery)
+            # Tasks that wait while no guard sends states are refused in time.
+            self._dispatcher.handle_state()
 
     def _handle_end(
         self,
@@ -219,5 +221,5 @@
     ) -> None:
         self._dispatcher.handle_end(guard, ref, outcome, detail)
 
-    def _wake(self) -> None:
-        self._dispatcher.wake()
+    def _handle_state(self) -> None:
+        self._dispatcher.handle_state()
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -24,7 +24,8 @@
 
     def __init__(self, name, room=CAPACITY, **state):
         self.name = name
-        self._room = room
+        # Tests change it like a later state of the guard.
+        self.free = room
         self.is_answering = True
         fields = {'accepting': True, 'slowness': 1, 'failure_share': 0, **state}
         self.state = EndpointState(
@@ -41,7 +42,7 @@
 
     def room(self):
         """Return the free capacity."""
-        return self._room
+        return self.free
 
     def ordered(self):
         """Return the demand of the entry's runs."""
@@ -252,3 +253,32 @@
     dispatcher.add(job(count=3))
     await trio.sleep(0.1)
     assert {guard for guard, _ in fleet.orders} == {'answering'}
+
+
+async def test_state_starts_no_round_while_nothing_waits(
+    start_dispatcher, autojump_clock, monkeypatch
+):
+    """Guards against a placement round for each state of an idle fleet."""
+    dispatcher, fleet = start_dispatcher(Link('guard'))
+    dispatcher.add(job(count=2))
+    await trio.sleep(0.1)
+    assert len(fleet.orders) == 2
+    rounds = []
+    monkeypatch.setattr(dispatcher, 'wake', lambda: rounds.append(1))
+    dispatcher.handle_state()
+    assert not rounds
+
+
+async def test_state_starts_a_round_while_a_task_waits(
+    start_dispatcher, autojump_clock
+):
+    """Guards against a task that waits although an endpoint has room again."""
+    link = Link('guard', Demand())
+    dispatcher, fleet = start_dispatcher(link)
+    dispatcher.add(job(estimate_ms=1000, deadline_ms=5000))
+    await trio.sleep(0.1)
+    assert not fleet.orders
+    link.free = CAPACITY
+    dispatcher.handle_state()
+    await trio.sleep(0.1)
+    assert len(fleet.orders) == 1
