Check the catalogue of events against the code; remove reservations

Reserve, CancelReservation and SlotOffered had no handler on either side.

The three messages are gone.

--- a/src/borageward/entry/settlement.py
+++ b/src/borageward/entry/settlement.py
@@ -20,7 +20,6 @@
     JobOutcome,
     Settle,
     Settled,
-    SlotOffered,
     StartTasks,
     TasksFinished,
     TasksRefused,
@@ -350,7 +349,6 @@
 _MESSAGES_WITH_LOAD = (
     Announcement,
     Settled,
-    SlotOffered,
     TasksFinished,
     TasksRefused,
 )
--- a/src/borageward/messages/guard.py
+++ b/src/borageward/messages/guard.py
@@ -149,36 +149,6 @@
     jobs: tuple[AcknowledgedJob, ...]
 
 
-class Reserve(Message, frozen=True):
-    """Ask for ``SlotOffered`` when a slot becomes free; starts nothing.
-
-    ``reservation`` identifies the request, ``count`` is the number of slots
-    and ``expected_ms`` the expected run time of a task. Guards ignore this
-    message at present.
-    """
-
-    reservation: int
-    count: int
-    expected_ms: float
-
-
-class CancelReservation(Message, frozen=True):
-    """Cancel a reservation of ``Reserve``; an unknown one is ignored."""
-
-    reservation: int
-
-
-class SlotOffered(Message, frozen=True):
-    """Offer a slot, held for a reservation for ``hold_ms``.
-
-    Guards do not send this message at present.
-    """
-
-    reservation: int
-    hold_ms: float
-    load: GuardLoad
-
-
 class JobOutcome(msgspec.Struct, frozen=True, array_like=True):
     """Outcome of one task, together with the id of its job."""
 
@@ -213,21 +183,8 @@
 
 
 EntryToGuard: TypeAlias = (
-    Hello
-    | StartTasks
-    | Withdraw
-    | Settle
-    | Fence
-    | Acknowledge
-    | Reserve
-    | CancelReservation
+    Hello | StartTasks | Withdraw | Settle | Fence | Acknowledge
 )
 GuardToEntry: TypeAlias = (
-    Welcome
-    | Settled
-    | Fenced
-    | SlotOffered
-    | TasksFinished
-    | TasksRefused
-    | Announcement
+    Welcome | Settled | Fenced | TasksFinished | TasksRefused | Announcement
 )
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -98,7 +98,7 @@
             'The complete answer or the failure is about to be sent.',
         ),
         'process_started': _info(
-            '', 'All roles of the process are ready to serve.'
+            'role', 'All roles of the process are ready to serve.'
         ),
         'process_stopping': _info(
             '', 'Shutdown has begun; requests already accepted are finished.'
@@ -151,14 +151,14 @@
             'Control ends a silent process, which did not renew its lease.',
         ),
         'snapshot_taken': _info(
-            'position', 'The log was compacted into a snapshot.'
+            'index, bytes', 'The log was compacted into a snapshot.'
         ),
-        'storage_failed': _error(
+        'storage_failed': _warning(
             'detail',
             'A write to or a sync of the disk failed; the process ends.',
         ),
         'replica_has_another_disk': _warning(
-            'voter_id',
+            'replica',
             'A voter answered from another disk; its reply is not counted.',
         ),
         # Control replicas that find each other through seeds.
