Say in ordinary words which address is malformed

Change: both messages name the text and what it is not; the tests match the new messages, as strictly as before.

--- a/src/borageward/transport/address.py
+++ b/src/borageward/transport/address.py
@@ -31,12 +31,15 @@
     """
     host, separator, port = text.rpartition(':')
     if not separator or not port.isdecimal() or int(port) > _MAX_PORT:
-        return Failure(FailureReason.INVALID_REQUEST, f'bad address {text!r}')
+        return Failure(
+            FailureReason.INVALID_REQUEST,
+            f'{text!r} is not an IP address and a port',
+        )
     try:
         ipaddress.ip_address(host.strip('[]'))
     except ValueError:
         return Failure(
             FailureReason.INVALID_REQUEST,
-            f'{host!r} is not an IP number',
+            f'{host!r} is not an IP address',
         )
     return Address(host.strip('[]'), int(port))
--- a/tests/settings/test_reader.py
+++ b/tests/settings/test_reader.py
@@ -120,7 +120,7 @@
         (
             _changed(_GUARD, guard__runner_address='runner:80'),
             '$.guard.runner_address',
-            'not an IP number',
+            "'runner' is not an IP address",
         ),
         (
             _changed(_GUARD, guard__link_address='0.0.0.0:7000'),
@@ -130,7 +130,7 @@
         (
             _changed(_GUARD, guard__link_address='127.0.0.1:70000'),
             '$.guard.link_address',
-            'bad address',
+            'is not an IP address and a port',
         ),
         (
             _changed(_CONTROL, control__member_address='0.0.0.0:7101'),
