Let a reopened link to a guard take its session over

Cause (found on reading): a link that was closed because its guard left the subset numbered its connections from one again when the guard came back, so that the guard, which keeps idle sessions for 3 s, rejected it as outdated; and the kept session claimed to count orders that the new link had not sent.

Change: connections are numbered by the entry's clock, and a session that is not resumed counts orders from zero.

--- a/src/borageward/dispatch/guardlink.py
+++ b/src/borageward/dispatch/guardlink.py
@@ -81,7 +81,6 @@
         self._state: EndpointState | None = None
         self._opened = False
         self._unanswered_since_ms: Milliseconds = math.inf
-        self._attempt = 0
         self._outgoing: list[EntryMessage] = []
         self._posted = trio.Event()
         self._last_received_ms: Milliseconds = 0
@@ -184,13 +183,13 @@
         connection = await _connect(self._address)
         if connection is None:
             return
-        self._attempt += 1
         self._outgoing = [
             OpenSession(
                 self._entry,
                 self._runs.seen_end,
                 self._runs.session,
-                self._attempt,
+                # Rises over all links of this process to the guard.
+                attempt=round(self._clock.now_ms()),
             ),
         ]
         self._posted.set()
--- a/src/borageward/runs/sessionserver.py
+++ b/src/borageward/runs/sessionserver.py
@@ -150,6 +150,9 @@
         self._by_link[link] = session
         if resumed:
             session.acknowledge(message.seen_end)
+        else:
+            # The entry numbers its orders anew.
+            session.last_order = 0
         self._post_opened(session, link, resumed=resumed)
 
     def _post_opened(
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -258,7 +258,10 @@
         (['query', 'show job'], 'column 6: expected'),
         (['query', _SET_QUOTA], 'use "plan" and "apply"'),
         (['plan', 'show jobs'], 'use "query"'),
-        (['query', 'show jobs', '--entry', 'localhost:80'], 'not an IP address'),
+        (
+            ['query', 'show jobs', '--entry', 'localhost:80'],
+            'not an IP address',
+        ),
         (['approve', 'missing.json'], 'No such file'),
         (['undo', '0'], 'can be undone'),
         (['query', 'show jobs', '--settings', 'missing.json'], 'No such file'),
--- a/tests/dispatch/test_guardlink.py
+++ b/tests/dispatch/test_guardlink.py
@@ -29,6 +29,7 @@
     def __init__(self):
         self.answers = True
         self.last_order = 0
+        self.attempts = []
 
     def state(self):
         """Return the state of an idle endpoint."""
@@ -58,6 +59,7 @@
         while True:
             message = await connection.receive()
             if isinstance(message, OpenSession):
+                self.attempts.append(message.attempt)
                 await connection.send(SessionOpened('g', True, (), 's'))
                 await connection.send(self.state())
             elif isinstance(message, StartRuns) and self.answers:
@@ -65,13 +67,8 @@
                 await connection.send(self.state())
 
 
-@pytest.fixture
-async def linked(nursery):
-    """Return a guard and an open link to it."""
-    guard = SilentGuard()
-    listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
-    nursery.start_soon(trio.serve_listeners, guard.serve, listeners)
-    port = listeners[0].socket.getsockname()[1]
+async def open_link(nursery, port):
+    """Return an open link to the guard at a port."""
     link = GuardLink(
         'guard',
         Address('127.0.0.1', port),
@@ -85,7 +82,23 @@
     with trio.fail_after(10):
         while not link.is_open:
             await trio.sleep(0.01)
-    return guard, link
+    return link
+
+
+@pytest.fixture
+async def guard_at_port(nursery):
+    """Return a guard and the port at which it listens."""
+    guard = SilentGuard()
+    listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+    nursery.start_soon(trio.serve_listeners, guard.serve, listeners)
+    return guard, listeners[0].socket.getsockname()[1]
+
+
+@pytest.fixture
+async def linked(nursery, guard_at_port):
+    """Return a guard and an open link to it."""
+    guard, port = guard_at_port
+    return guard, await open_link(nursery, port)
 
 
 def order(link, index):
@@ -119,3 +132,19 @@
             await trio.sleep(0.01)
     await trio.sleep(0.3)
     assert link.is_answering
+
+
+async def test_reopened_link_is_newer_than_the_closed_one(
+    nursery, guard_at_port
+):
+    """Guards against a guard that rejects a link of its entry as outdated.
+
+    A guard that left the subset of an entry may join it again while its
+    session is still kept.
+    """
+    guard, port = guard_at_port
+    await open_link(nursery, port)
+    await trio.sleep(0.01)
+    await open_link(nursery, port)
+    first, second = guard.attempts
+    assert second > first
--- a/tests/runs/test_guard_runs.py
+++ b/tests/runs/test_guard_runs.py
@@ -484,3 +484,19 @@
         assert guard.sessions.open_sessions == 1
         await trio.sleep(2)
         assert guard.sessions.open_sessions == 0
+
+
+async def test_orders_of_a_reopened_link_are_counted_anew(autojump_clock):
+    """Guards against room that is used twice after a link was reopened.
+
+    The new link numbers its orders from one; a state that claims to count a
+    later order would hide them.
+    """
+    async with running_guard() as (guard, _, entry, nursery):
+        for index in range(3):
+            await entry.start(index)
+        await trio.sleep(0.5)
+        reopened = await guard.connect()
+        nursery.start_soon(reopened.run)
+        await reopened.open(attempt=1)
+        assert reopened.state.last_order == 0
