--- a/src/borageward/discovery/fanout.py
+++ b/src/borageward/discovery/fanout.py
@@ -25,10 +25,6 @@
         self._started: set[str] = set()
         self._added = trio.Event()
 
-    def __len__(self) -> int:
-        """Return the number of known addresses."""
-        return len(self._addresses)
-
     def add(self, addresses: tuple[str, ...]) -> None:
         """Add addresses; tasks are started for those that are new."""
         self._addresses.update(dict.fromkeys(addresses))
--- a/src/borageward/dispatch/directory.py
+++ b/src/borageward/dispatch/directory.py
@@ -16,7 +16,8 @@
 from borageward.queues import QueueManifest
 from borageward.telemetry import EventLog
 
-# Some replica is asked in each of these intervals, whatever their number.
+# Some replica that answers is asked in each of these intervals, whatever their
+# number.
 _POLL_INTERVAL_MS = 100.0
 _POLL_TIMEOUT_MS = 600.0
 # Until the first manifest and guards arrive, the entry cannot serve any caller,
@@ -69,6 +70,7 @@
         self._last_listed_ms: dict[str, Milliseconds] = {}
         self._lists: dict[str, _ReplicaList] = {}
         self._next_drop_ms: Milliseconds = 0
+        self._answering: set[str] = set()
 
     @property
     def manifest(self) -> QueueManifest | None:
@@ -90,7 +92,7 @@
 
     async def _poll(self, address: str) -> None:
         known_guards_version = 0
-        answered = True
+        self._answering.add(address)
         while True:
             known = 0 if self._manifest is None else self._manifest.version
             view = await self._calls.call(
@@ -101,15 +103,23 @@
             if isinstance(view, ClusterView):
                 known_guards_version = view.guards_version
                 self._apply_view(address, view)
-            if isinstance(view, ClusterView) != answered:
-                answered = not answered
-                name = 'replica_regained' if answered else 'replica_lost'
-                self._log.event(name, replica=address)
+            self._note_answer(address, answered=isinstance(view, ClusterView))
             await self._clock.sleep_ms(self._interval_ms())
 
+    def _note_answer(self, address: str, *, answered: bool) -> None:
+        """Log that a replica answers again or no longer does."""
+        if answered == (address in self._answering):
+            return
+        if answered:
+            self._answering.add(address)
+        else:
+            self._answering.remove(address)
+        name = 'replica_regained' if answered else 'replica_lost'
+        self._log.event(name, replica=address)
+
     def _interval_ms(self) -> Milliseconds:
         if self._is_complete():
-            return _POLL_INTERVAL_MS * len(self._replicas)
+            return _POLL_INTERVAL_MS * max(1, len(self._answering))
         return _FIRST_POLL_INTERVAL_MS
 
     def _timeout_ms(self) -> Milliseconds:
--- a/tests/dispatch/test_directory.py
+++ b/tests/dispatch/test_directory.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+
 import pytest
 import trio
 
@@ -31,10 +33,12 @@
     def __init__(self, **views):
         self.views = views
         self.polled = set()
+        self.calls = collections.Counter()
 
     async def call(self, address, request, timeout_ms):
         """Return the view of a replica, or a time-out failure."""
         self.polled.add(address)
+        self.calls[address] += 1
         await trio.sleep(0.001)
         view = self.views.get(address)
         if view is None:
@@ -151,3 +155,30 @@
     replicas.views['a'] = view(3, guards=(guard('x'),))
     await trio.sleep(0.1)
     assert directory.manifest.version == 3
+
+
+async def test_lost_replicas_do_not_slow_the_polls_down(
+    start_directory, autojump_clock
+):
+    """Guards against a late manifest after many replicas were replaced.
+
+    The addresses of removed replicas stay known.
+    """
+    replicas = Replicas(a=view(1, (guard('x'),), ('b', 'c', 'd', 'e', 'f')))
+    await start_directory(replicas)
+    replicas.calls.clear()
+    await trio.sleep(2)
+    assert replicas.calls['a'] >= 15
+
+
+async def test_polls_of_an_entry_do_not_grow_with_the_replicas(
+    start_directory, autojump_clock
+):
+    """Guards against calls in proportion to entries and replicas."""
+    names = ('a', 'b', 'c', 'd', 'e')
+    answer = view(1, (guard('x'),), names)
+    replicas = Replicas(**dict.fromkeys(names, answer))
+    await start_directory(replicas, names)
+    replicas.calls.clear()
+    await trio.sleep(2)
+    assert sum(replicas.calls.values()) <= 25
