Echo the state that answers an order

Cause (found on reading): a heartbeat was left out when an order had been sent within 150 ms. At a link that was idle, the order echoes a state that is up to 600 ms old, so the session could expire 300 ms later, with its runs.

Change: what counts is the age of the last stamp that was echoed, not when.

--- a/src/borageward/dispatch/guardlink.py
+++ b/src/borageward/dispatch/guardlink.py
@@ -27,7 +27,8 @@
 from borageward.telemetry import EventLog
 from borageward.transport import Address, FrameConnection, LinkClosed
 
-# A heartbeat answers each state, but not more often than this.
+# A heartbeat answers each state whose stamp is newer than the last echoed one
+# by at least this.
 _HEARTBEAT_INTERVAL_MS = 150.0
 # A connection without a message for this time is closed and opened again. The
 # guard sends a state at least every 300 ms to an entry that has runs there, and
@@ -81,6 +82,8 @@
         self._state: EndpointState | None = None
         self._opened = False
         self._unanswered_since_ms: Milliseconds = math.inf
+        # Newest stamp of the guard that a heartbeat or order has returned.
+        self._echoed_ms: Milliseconds = -math.inf
         self._outgoing: list[EntryMessage] = []
         self._posted = trio.Event()
         self._last_received_ms: Milliseconds = 0
@@ -140,7 +143,8 @@
         ``order``, ``starts`` and ``echoed_ms`` of the message are replaced by
         the values of this link.
         """
-        state = self._state
+        echoed_ms = 0 if self._state is None else self._state.stamp_ms
+        self._echoed_ms = echoed_ms
         now_ms = self._clock.now_ms()
         self._last_renewal_ms = now_ms
         self._unanswered_since_ms = min(self._unanswered_since_ms, now_ms)
@@ -149,7 +153,7 @@
                 message,
                 order=self._runs.next_order(),
                 starts=starts,
-                echoed_ms=0 if state is None else state.stamp_ms,
+                echoed_ms=echoed_ms,
             ),
         )
 
@@ -258,6 +262,7 @@
 
     def _handle_opened(self, message: SessionOpened) -> None:
         self._unanswered_since_ms = math.inf
+        self._echoed_ms = -math.inf
         self.stop(self._runs.reconcile(message))
         self._log.event(
             'guard_found',
@@ -276,11 +281,12 @@
         self._on_change()
 
     def _send_heartbeat(self, state: EndpointState) -> None:
-        """Echo the stamp of a state, unless a message has done so recently."""
-        now_ms = self._clock.now_ms()
-        if now_ms - self._last_renewal_ms >= _HEARTBEAT_INTERVAL_MS:
-            self._last_renewal_ms = now_ms
-            self._post(SessionHeartbeat(state.stamp_ms, self._runs.seen_end))
+        """Echo the stamp of a state, unless a recent one was echoed."""
+        if state.stamp_ms - self._echoed_ms < _HEARTBEAT_INTERVAL_MS:
+            return
+        self._echoed_ms = state.stamp_ms
+        self._last_renewal_ms = self._clock.now_ms()
+        self._post(SessionHeartbeat(state.stamp_ms, self._runs.seen_end))
 
 
 async def _connect(address: Address) -> FrameConnection[GuardMessage] | None:
--- a/tests/dispatch/test_guardlink.py
+++ b/tests/dispatch/test_guardlink.py
@@ -13,6 +13,7 @@
     EntryMessage,
     OpenSession,
     RunRef,
+    SessionHeartbeat,
     SessionOpened,
     StartRuns,
     TaskKey,
@@ -30,11 +31,12 @@
         self.answers = True
         self.last_order = 0
         self.attempts = []
+        self.echoed_ms = []
 
     def state(self):
         """Return the state of an idle endpoint."""
         return EndpointState(
-            0,
+            trio.current_time() * 1000,
             self.last_order,
             'e',
             'pool',
@@ -62,9 +64,15 @@
                 self.attempts.append(message.attempt)
                 await connection.send(SessionOpened('g', True, (), 's'))
                 await connection.send(self.state())
-            elif isinstance(message, StartRuns) and self.answers:
-                self.last_order = message.order
-                await connection.send(self.state())
+            elif isinstance(message, SessionHeartbeat):
+                self.echoed_ms.append(message.echoed_ms)
+            elif isinstance(message, StartRuns):
+                await self._answer(connection, message)
+
+    async def _answer(self, connection, message):
+        if self.answers:
+            self.last_order = message.order
+            await connection.send(self.state())
 
 
 async def open_link(nursery, port):
@@ -148,3 +156,18 @@
     await open_link(nursery, port)
     first, second = guard.attempts
     assert second > first
+
+
+async def test_state_that_answers_an_order_is_echoed(linked):
+    """Guards against a session that expires soon after its first order.
+
+    The order itself echoes the state of before, which is old at a link that
+    was idle; the guard counts the session's time from the newest echo.
+    """
+    guard, link = linked
+    await trio.sleep(0.3)
+    ordered_ms = trio.current_time() * 1000
+    order(link, 0)
+    with trio.fail_after(10):
+        while not guard.echoed_ms or guard.echoed_ms[-1] < ordered_ms:
+            await trio.sleep(0.01)
