Stop a run again when the link to its guard is reopened

Cause: StopRuns that is queued or in flight when the connection to a guard breaks is lost, and at the reopened session the entry stopped only runs that it does not know. A run that it was about to stop is one that it still knows, so nobody stopped it; heartbeats kept it alive until its task was done. Change: outstanding runs remember that they are to be stopped until their end, and a reopened session repeats the request. Evidence: test_stop_lost_with_its_connection_is_repeated waited 10 s for the stop before the change and failed; tests/dispatch passes with it. Why it works: the guard reports every end until the entry has seen it, so a run that the guard lists at a reopened session has not ended; a second stop of the same run changes nothing.

--- a/src/borageward/dispatch/guardlink.py
+++ b/src/borageward/dispatch/guardlink.py
@@ -158,8 +158,12 @@
         )
 
     def stop(self, refs: Sequence[RunRef]) -> None:
-        """Stop runs; their ends are passed to ``on_end``."""
+        """Stop runs; their ends are passed to ``on_end``.
+
+        The request is repeated whenever the session is opened again.
+        """
         if refs:
+            self._runs.mark_stopping(refs)
             self._post(StopRuns(tuple(refs)))
 
     async def run(self) -> None:
--- a/src/borageward/dispatch/orders.py
+++ b/src/borageward/dispatch/orders.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -36,6 +36,8 @@
         """Start without runs; the callback must not block."""
         self._on_end = on_end
         self._ordered: dict[RunRef, _OrderedRun] = {}
+        # Runs that the guard was told to stop and that have not ended.
+        self._stopping: set[RunRef] = set()
         self._unlisted: tuple[RunRef, ...] = ()
         self._last_order = 0
         self._session = ''
@@ -64,6 +66,10 @@
         self._last_order += 1
         return self._last_order
 
+    def mark_stopping(self, refs: Iterable[RunRef]) -> None:
+        """Record runs to stop until they end, over several connections."""
+        self._stopping.update(ref for ref in refs if ref in self._ordered)
+
     def is_answered(self, state: EndpointState) -> bool:
         """Return whether a state counts all orders."""
         return state.last_order >= self._last_order
@@ -91,8 +97,9 @@
         """Compare the runs with those that the guard lists.
 
         Return the runs to stop: the guard lists them, but they have ended for
-        the entry. A run that the guard does not list never reached it, unless
-        the guard reports its end before its next state.
+        the entry, or the request to stop them may have been lost with an
+        earlier connection. A run that the guard does not list never reached
+        it, unless the guard reports its end before its next state.
         """
         if not message.resumed:
             self._seen_end = 0
@@ -101,7 +108,11 @@
         self._unlisted = tuple(
             ref for ref in self._ordered if ref not in listed
         )
-        return [ref for ref in message.refs if ref not in self._ordered]
+        return [
+            ref
+            for ref in message.refs
+            if ref not in self._ordered or ref in self._stopping
+        ]
 
     def end_unlisted(self) -> None:
         """End the runs that the guard did not list in the open session."""
@@ -122,5 +133,6 @@
             self._end(ref, RunOutcome.LOST, 'lease of the guard expired')
 
     def _end(self, ref: RunRef, outcome: RunOutcome, detail: str) -> None:
+        self._stopping.discard(ref)
         if self._ordered.pop(ref, None) is not None:
             self._on_end(ref, outcome, detail)
--- a/tests/dispatch/test_guardlink.py
+++ b/tests/dispatch/test_guardlink.py
@@ -13,9 +13,9 @@
     EntryMessage,
     OpenSession,
     RunRef,
-    SessionHeartbeat,
     SessionOpened,
     StartRuns,
+    StopRuns,
     TaskKey,
 )
 from borageward.telemetry import EventLog
@@ -32,6 +32,10 @@
         self.last_order = 0
         self.attempts = []
         self.echoed_ms = []
+        # Runs that the guard lists, and those that it was told to stop.
+        self.refs = ()
+        self.stopped = []
+        self.connection = None
 
     def state(self):
         """Return the state of an idle endpoint."""
@@ -52,6 +56,7 @@
     async def serve(self, stream):
         """Serve a connection until it is closed."""
         connection = FrameConnection(stream, EntryMessage)
+        self.connection = connection
         try:
             await self._serve(connection)
         except LinkClosed:
@@ -61,13 +66,18 @@
         while True:
             message = await connection.receive()
             if isinstance(message, OpenSession):
-                self.attempts.append(message.attempt)
-                await connection.send(SessionOpened('g', True, (), 's'))
-                await connection.send(self.state())
-            elif isinstance(message, SessionHeartbeat):
-                self.echoed_ms.append(message.echoed_ms)
+                await self._open(connection, message)
             elif isinstance(message, StartRuns):
                 await self._answer(connection, message)
+            elif isinstance(message, StopRuns):
+                self.stopped.extend(message.refs)
+            else:
+                self.echoed_ms.append(message.echoed_ms)
+
+    async def _open(self, connection, message):
+        self.attempts.append(message.attempt)
+        await connection.send(SessionOpened('g', True, self.refs, 's'))
+        await connection.send(self.state())
 
     async def _answer(self, connection, message):
         if self.answers:
@@ -158,6 +168,27 @@
     assert second > first
 
 
+async def test_stop_lost_with_its_connection_is_repeated(linked):
+    """Guards against a run that works on after its caller has left.
+
+    The connection breaks while the entry stops the run. The caller may repeat
+    the job through another entry, which would start the task a second time.
+    """
+    guard, link = linked
+    order(link, 0)
+    run = RunRef(TaskKey('job', 0, 0, 0), 1)
+    guard.refs = (run,)
+    await guard.connection.close()
+    with trio.fail_after(10):
+        while link.is_open:
+            await trio.sleep(0.001)
+    link.stop([run])
+    with trio.fail_after(10):
+        while not guard.stopped:
+            await trio.sleep(0.01)
+    assert guard.stopped == [run]
+
+
 async def test_state_that_answers_an_order_is_echoed(linked):
     """Guards against a session that expires soon after its first order.
 
