Place a resubmitted task only after its earlier run has ended

Cause: when a job ends at its entry, its runs are told to stop and forgotten. A caller that repeats the job through the same entry got a second run at once, numbered from one again, while the first could still be at work; and the end of the first run was taken for the end of the second one, since the dispatcher compared only the run's number, not its guard. The task then started a third time. Change: the dispatcher keeps the runs of ended jobs until their guards report their end. A job that is submitted again places such a task after that end, and numbers its runs after it. An end counts only for the guard of the newest run. Evidence: test_resubmitted_job_waits_for_the_runs_of_its_predecessor and test_end_at_another_guard_does_not_end_a_run failed before (two orders and one order too many) and pass now. Why it works: a link reports the end of every run exactly once, also when the guard is gone for good, so a task waits no longer than the guard's authority.

--- a/src/borageward/dispatch/dispatcher.py
+++ b/src/borageward/dispatch/dispatcher.py
@@ -9,6 +9,7 @@
 
 from borageward.clock import Clock
 from borageward.dispatch.candidates import Candidates, placement_need
+from borageward.dispatch.endingruns import EndingRuns
 from borageward.dispatch.fleet import Fleet
 from borageward.dispatch.job import Job, JobTask, TaskState
 from borageward.dispatch.request import JobOutcome, JobVerdict
@@ -60,6 +61,7 @@
         self._clock = clock
         self._log = log
         self._jobs: dict[str, Job] = {}
+        self._ending = EndingRuns()
         self._started_ms = clock.now_ms()
         self._wake = trio.Event()
         # Whether the last placement round left tasks without an endpoint.
@@ -71,14 +73,21 @@
         return self._jobs
 
     def add(self, job: Job) -> None:
-        """Add a job and start to place its tasks."""
+        """Add a job and start to place its tasks.
+
+        A task of which an earlier submission left a run that has not ended is
+        placed once that run has ended.
+        """
         self._jobs[job.request.job_id] = job
+        job.continue_from(self._ending)
         self.wake()
 
     def remove(self, job: Job) -> None:
         """Remove a job and stop its runs."""
         self._jobs.pop(job.request.job_id, None)
         runs = [(task.guard, task.ref) for task in job.placed()]
+        for guard, ref in runs:
+            self._ending.add(guard, ref)
         self._fleet.stop(runs)
 
     def wake(self) -> None:
@@ -106,11 +115,16 @@
         The end is ignored when the job is no longer in progress or the run is
         not the newest of its task.
         """
+        if self._ending.handle_end(guard, ref):
+            self.wake()
+            return
         job = self._jobs.get(ref.task.job_id)
         task = None if job is None else job.find(ref.task)
         if job is None or task is None:
             return
-        if task.run != ref.run or task.state is not TaskState.PLACED:
+        if (task.guard, task.ref) != (guard, ref):
+            return
+        if task.state is not TaskState.PLACED:
             return
         self._log_end(guard, ref, outcome, detail)
         _apply_outcome(job, task, outcome)
@@ -176,13 +190,17 @@
         for job in self._jobs.values():
             if job.outcome is not None:
                 continue
-            for task in job.waiting():
+            for task in self._placeable(job):
                 step = job.request.steps[task.key.step]
                 slack = slack_ms(job.goal, step.estimate_ms, now_ms)
                 waiting.append(_WaitingTask(slack, job, task))
         waiting.sort(key=_by_slack)
         return waiting
 
+    def _placeable(self, job: Job) -> list[JobTask]:
+        """Return the waiting tasks without an ending run."""
+        return [task for task in job.waiting() if task.key not in self._ending]
+
     def _is_excess(self, job: Job, backlog: Backlog) -> bool:
         """Return whether a job would wait too long and may be refused."""
         if job.ordered:
--- a/src/borageward/dispatch/job.py
+++ b/src/borageward/dispatch/job.py
@@ -9,6 +9,7 @@
 import trio
 
 from borageward.clock import Milliseconds
+from borageward.dispatch.endingruns import EndingRuns
 from borageward.dispatch.request import JobOutcome, JobRequest, JobVerdict
 from borageward.messages.runs import RunRef, TaskKey
 from borageward.policy.run_order import RunGoal, job_goal_ms
@@ -135,6 +136,12 @@
                 return step[key.index]
         return None
 
+    def continue_from(self, ending: EndingRuns) -> None:
+        """Number runs after those that an earlier submission has left."""
+        for task in self._all_tasks():
+            task.run = ending.last_run(task.key)
+            self.ordered = self.ordered or task.run > 0
+
     def place(self, task: JobTask, guard: str) -> RunRef:
         """Begin a new run of a task at a guard and return its reference."""
         task.run += 1
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -211,6 +211,45 @@
     assert len(fleet.stopped) == 2
 
 
+async def test_resubmitted_job_waits_for_the_runs_of_its_predecessor(
+    start_dispatcher, autojump_clock
+):
+    """Guards against two runs of one task after a resubmission.
+
+    The caller repeats its job through the same entry before the guard has
+    confirmed that the run of the first submission has ended.
+    """
+    dispatcher, fleet = start_dispatcher(Link('a'), Link('b'))
+    first = job()
+    dispatcher.add(first)
+    await trio.sleep(0.01)
+    guard, ref = fleet.orders[0]
+    dispatcher.remove(first)
+    dispatcher.add(job())
+    await trio.sleep(1)
+    assert len(fleet.orders) == 1
+    dispatcher.handle_end(guard, ref, RunOutcome.LOST, 'stopped')
+    await trio.sleep(0.01)
+    assert fleet.orders[1][1].run == 2
+
+
+async def test_end_at_another_guard_does_not_end_a_run(
+    start_dispatcher, autojump_clock
+):
+    """Guards against a second run of a task whose first one is at work.
+
+    A guard reports the end of a run that has the number of the run at another
+    guard.
+    """
+    dispatcher, fleet = start_dispatcher(Link('a'))
+    dispatcher.add(job())
+    await trio.sleep(0.01)
+    _, ref = fleet.orders[0]
+    dispatcher.handle_end('b', ref, RunOutcome.LOST, 'lost')
+    await trio.sleep(0.1)
+    assert len(fleet.orders) == 1
+
+
 async def test_urgent_job_goes_first_when_room_is_scarce(
     start_dispatcher, autojump_clock
 ):
