Ignore what arrives on the link of an expired session

Cause: a partition holds an order up while the guard expires the session of its entry. The entry reconnects, the new session does not list the run, and the entry starts the task elsewhere. Then the order arrives on the former connection, which was still bound to the expired session; its echoed stamp was younger than 900 ms, so the guard started the run as well. Change: an expired session gives up its link, which the guard closes, so that the entry reconnects at once. Orders on a connection without a session are ignored and logged as order_ignored. Why it works: each entry has at most one session at a guard, and a message counts only on the link of this session; what the new session did not list can no longer begin.

--- a/src/borageward/runs/sessions.py
+++ b/src/borageward/runs/sessions.py
@@ -36,6 +36,9 @@
     def post(self, message: GuardMessage) -> None:
         """Queue a message without blocking."""
 
+    async def close(self) -> None:
+        """Close the link; queued messages are not sent."""
+
 
 @attrs.define(slots=True, eq=False)
 class Session:
--- a/src/borageward/runs/sessionserver.py
+++ b/src/borageward/runs/sessionserver.py
@@ -130,6 +130,12 @@
         session = self._by_link.get(link)
         if session is not None and session.link is link:
             self._handle_session_message(session, message)
+        elif isinstance(message, StartRuns):
+            self._log.warning(
+                'order_ignored',
+                job=message.job_id,
+                entry='' if session is None else session.entry,
+            )
 
     async def _open(self, link: EntryLink, message: OpenSession) -> None:
         """Open or resume a session.
@@ -248,7 +254,10 @@
         while True:
             await self._clock.sleep_ms(self._expiry_wait_ms())
             for session in self._sessions.expired(self._table.sessions()):
+                link = session.link
                 self._expire(session)
+                if link is not None:
+                    await link.close()
 
     def _expiry_wait_ms(self) -> Milliseconds:
         """Return the time until a session expires that is not extended."""
@@ -256,6 +265,12 @@
         return min(_MAX_EXPIRY_WAIT_MS, max(_MIN_EXPIRY_WAIT_MS, wait_ms))
 
     def _expire(self, session: Session) -> None:
+        """Remove a session, stop its runs and ignore further messages of it.
+
+        Orders that were under way on its link may arrive after the entry has
+        been told, in a new session, that their runs are not here.
+        """
+        session.link = None
         runs = self._table.of_session(session.entry)
         report = self._log.warning if runs else self._log.event
         report('session_expired', entry=session.entry, runs=len(runs))
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -291,6 +291,10 @@
             'entry',
             'A connection that the entry has given up asked for a session.',
         ),
+        'order_ignored': _warning(
+            'job, entry',
+            'A start order came on a connection without a session.',
+        ),
         'session_expired': _warning(
             'entry, runs',
             'An entry was silent for too long; its runs are stopped.',
