Tell the incarnations of an endpoint with the same id apart

Cause: calls name the id only, so the new incarnation carried out starts that were meant for the former one. When it reported itself, the guard reported these runs as lost, and their entries started the tasks elsewhere. The new fence came from the new, small clock; after such a start it was lower than the one that the endpoint had seen, so the stop was rejected and the endpoint stayed unusable. Lists of the new incarnation counted as answers of the former one and let it accept runs before the report.

Change: an incarnation is the id and the start time, which lists and farewells carry too. Lists of another incarnation end the known one at once and are not handled otherwise. Runs that the former incarnation has listed are lost; the others are stopped in the new one and end by lists under the new fence. That fence is the start time plus the endpoint's clock, about the Unix time, and higher than any that the guard has used for the id, so starts of the former incarnation are rejected once the endpoint has accepted it; no run starts before. Leases on the former clock are assumed to last the longest time that the endpoint allows. Runs that the guard does not know are stopped until they are no longer listed, not once for each list.

The stand-in endpoint limits leases, and begins with a clock above zero, as a guard finds it. test_new_incarnation_ends_all_runs lets the stand-in start again; before, the endpoint that reported a new incarnation worked on in the former one, and its lists contradicted its report.

--- a/src/borageward/runs/endpoint.py
+++ b/src/borageward/runs/endpoint.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
+
 from borageward.clock import Clock, Milliseconds
-from borageward.runs.port import EndpointPort, EndpointStatus
+from borageward.runs.port import NOT_REPORTED, EndpointPort, EndpointStatus
 
 # Factor on elapsed time and lease durations: the endpoint's clock may be 2%
 # slow, and the estimate of it must not run ahead.
@@ -16,15 +18,20 @@
 _RECENT_ANSWER_MS = 400.0
 # Time that runs may take to stop once their lease has expired.
 _STOP_MARGIN_MS = 60.0
+# The endpoint shortens longer leases to this. A lease that was granted on the
+# clock of a former incarnation lasts this long in a restarted one.
+_MAX_LEASE_MS = 1000.0
 
 
 class Endpoint:
     """The guard's view of the current incarnation of the endpoint.
 
     The fence is a token sent with every request; the endpoint rejects requests
-    with a lower fence than the highest it has seen. It is derived from the
-    endpoint's clock at this guard's first reply, so a guard that starts later
-    has a higher fence, and delayed requests of its predecessor are rejected.
+    with a lower fence than the highest it has seen. It is the start time of the
+    incarnation plus the endpoint's clock at this guard's first reply, which is
+    about the Unix time in milliseconds. A guard that starts later and a later
+    incarnation therefore have a higher fence, and delayed requests of their
+    predecessors are rejected.
     """
 
     def __init__(
@@ -32,9 +39,13 @@
         status: EndpointStatus,
         port: EndpointPort,
         clock: Clock,
+        former: Endpoint | None = None,
     ) -> None:
         """Prepare for an incarnation that has just reported itself.
 
+        ``former`` is the former incarnation if it had the same id, so that
+        requests to it may be carried out by this one.
+
         ``clock`` must not count the time in which the host was suspended: the
         endpoint's clock may have stopped meanwhile, and an estimate ahead of
         it would treat the leases of active runs as expired.
@@ -45,6 +56,9 @@
         self._endpoint_clock_ms: Milliseconds = 0
         self._clock_read_ms: Milliseconds = 0
         self._fence = 0
+        self._former_fence = 0 if former is None else former.highest_fence
+        # The endpoint rejects all requests to the former incarnation.
+        self._is_fence_in_force = former is None
         self._last_lease_end_ms = 0
         self._last_answer_ms: Milliseconds = clock.now_ms()
         self._reachable = True
@@ -69,6 +83,11 @@
         """Return the fence of this guard; zero until the first reply."""
         return self._fence
 
+    @property
+    def highest_fence(self) -> int:
+        """Return the highest fence used for the id of this incarnation."""
+        return max(self._fence, self._former_fence)
+
     @property
     def is_ready(self) -> bool:
         """Return whether the fence and the endpoint's clock are known."""
@@ -89,8 +108,18 @@
         """Return whether new runs may start."""
         if self.has_left or self.draining or self._status.draining:
             return False
+        if self._status.sequence == NOT_REPORTED or not self._is_fence_in_force:
+            return False
         return self.is_ready and self._reachable
 
+    def is_incarnation(self, born_ms: int) -> bool:
+        """Return whether a reply with this start time is of this incarnation.
+
+        Without a start time on both sides incarnations cannot be told apart.
+        """
+        own_ms = self._status.born_ms
+        return born_ms == own_ms or not (born_ms and own_ms)
+
     def update(self, status: EndpointStatus) -> bool:
         """Store a status; return false if it is older than the stored one."""
         if status.sequence < self._status.sequence:
@@ -116,6 +145,15 @@
         self._reachable = True
         return regained
 
+    def record_start_reply(self) -> None:
+        """Record the reply to a start request.
+
+        It does not name the incarnation, so it does not make an unreachable
+        endpoint reachable again.
+        """
+        if self._reachable:
+            self._last_answer_ms = self._clock.now_ms()
+
     def record_failed_call(self) -> bool:
         """Record a failed call.
 
@@ -129,7 +167,23 @@
 
     def advance_fence(self) -> None:
         """Set a higher fence from the estimate of the endpoint's clock."""
-        self._fence = max(self._fence + 1, int(self.estimated_clock_ms()))
+        lowest = self.highest_fence + 1
+        clock_ms = int(self.estimated_clock_ms())
+        self._fence = max(lowest, self._status.born_ms + clock_ms)
+
+    def record_accepted_fence(self) -> None:
+        """Record that the endpoint has accepted the fence.
+
+        Until then a request to the former incarnation may have been carried
+        out, with a lease as long as the endpoint allows.
+        """
+        if self._is_fence_in_force:
+            return
+        self._is_fence_in_force = True
+        self._last_lease_end_ms = max(
+            self._last_lease_end_ms,
+            math.ceil(self.estimated_clock_ms() + _MAX_LEASE_MS),
+        )
 
     def estimated_clock_ms(self) -> Milliseconds:
         """Return a lower bound of the endpoint's clock in milliseconds."""
@@ -148,8 +202,10 @@
         return lease_end_ms
 
     def leases_expired(self) -> bool:
-        """Return whether all leases have expired, so that no run is active."""
-        return (
-            self.estimated_clock_ms()
-            > self._last_lease_end_ms + _STOP_MARGIN_MS
-        )
+        """Return whether all leases have expired, so that no run is active.
+
+        Leases on the clock of a former incarnation are known only once its
+        requests are rejected.
+        """
+        expiry_ms = self._last_lease_end_ms + _STOP_MARGIN_MS
+        return self._is_fence_in_force and self.estimated_clock_ms() > expiry_ms
--- a/src/borageward/runs/incarnations.py
+++ b/src/borageward/runs/incarnations.py
@@ -4,13 +4,18 @@
 
 from collections.abc import Callable
 
+import attrs
 import trio
 
 from borageward.clock import Clock, Milliseconds
-from borageward.messages.runs import RunOutcome
 from borageward.runs.endpoint import Endpoint
 from borageward.runs.lease import LEASE_MS, LeaseRenewer
-from borageward.runs.port import EndpointLists, EndpointPort, EndpointStatus
+from borageward.runs.port import (
+    NOT_REPORTED,
+    EndpointLists,
+    EndpointPort,
+    EndpointStatus,
+)
 from borageward.runs.supervisor import EndHandler, RunSupervisor
 from borageward.runs.table import RunTable
 from borageward.telemetry import EventLog
@@ -26,7 +31,8 @@
     """Processes the status reports of the endpoint and supervises its runs.
 
     A new incarnation does not continue the runs of the former one, so these
-    are reported as lost.
+    are reported as lost. If it has the same id, it may have carried out starts
+    that were meant for the former one; the runs of these are kept and stopped.
     """
 
     def __init__(
@@ -57,6 +63,8 @@
         self._only_own_runs_listed = False
         self._draining = False
         self._supervisor: RunSupervisor | None = None
+        # The endpoint of the former incarnation.
+        self._former: Endpoint | None = None
         self._scope = trio.CancelScope()
         self._nursery: trio.Nursery | None = None
 
@@ -93,18 +101,18 @@
         elif supervisor.endpoint.status.incarnation == status.incarnation:
             self._update(supervisor, status)
         elif status.born_ms >= supervisor.endpoint.status.born_ms:
-            self._end_incarnation('endpoint started again')
-            self._start_incarnation(status)
+            self._replace_incarnation(supervisor, status)
 
-    def report_leaving(self, endpoint_id: str) -> None:
+    def report_leaving(self, endpoint_id: str, born_ms: int = 0) -> None:
         """End the current incarnation because the endpoint is shutting down.
 
-        An id other than that of the current endpoint is ignored.
+        The id or the start time of another incarnation is ignored.
         """
         supervisor = self._supervisor
         if supervisor is None:
             return
-        if supervisor.endpoint.status.endpoint_id == endpoint_id:
+        is_current = supervisor.endpoint.is_incarnation(born_ms)
+        if supervisor.endpoint.status.endpoint_id == endpoint_id and is_current:
             self._log.event('endpoint_left', endpoint=endpoint_id)
             supervisor.endpoint.has_left = True
             self._end_incarnation('endpoint is shutting down')
@@ -126,10 +134,15 @@
         nursery = self._nursery
         if nursery is None:
             return
+        former = self._former
+        if former is not None:
+            same_id = former.status.endpoint_id == status.endpoint_id
+            former = former if same_id else None
         endpoint = Endpoint(
             status,
             self._open_port(status),
             self._steady_clock,
+            former,
         )
         endpoint.draining = self._draining
         self._log.event(
@@ -160,6 +173,7 @@
             self._table,
             self._handle_lists,
             self._handle_unreachable,
+            self._handle_restart,
             self._clock,
             self._log,
         )
@@ -178,13 +192,38 @@
         supervisor.admit()
         self._on_change()
 
-    def _end_incarnation(self, detail: str) -> None:
+    def _handle_restart(self, endpoint: Endpoint, born_ms: int) -> None:
+        """Supervise the incarnation that has replied instead of the known one.
+
+        It gets no new runs before it has reported its status.
+        """
+        supervisor = self._supervisor
+        if supervisor is None or supervisor.endpoint is not endpoint:
+            return
+        status = attrs.evolve(
+            endpoint.status,
+            born_ms=born_ms,
+            sequence=NOT_REPORTED,
+            draining=False,
+        )
+        self._replace_incarnation(supervisor, status)
+
+    def _replace_incarnation(
+        self,
+        supervisor: RunSupervisor,
+        status: EndpointStatus,
+    ) -> None:
+        same_id = supervisor.endpoint.status.endpoint_id == status.endpoint_id
+        self._end_incarnation('endpoint started again', same_id=same_id)
+        self._start_incarnation(status)
+
+    def _end_incarnation(self, detail: str, *, same_id: bool = False) -> None:
         supervisor = self._supervisor
         self._supervisor = None
         self._scope.cancel()
         if supervisor is not None:
-            for run in self._table:
-                supervisor.end(run, RunOutcome.LOST, detail)
+            self._former = supervisor.endpoint
+            supervisor.end_incarnation(detail, same_id=same_id)
         self._on_change()
 
     def _handle_lists(
--- a/src/borageward/runs/lease.py
+++ b/src/borageward/runs/lease.py
@@ -37,6 +37,8 @@
     [Endpoint, EndpointLists, Milliseconds], None
 ]
 UnreachableHandler: TypeAlias = Callable[[Endpoint], None]
+# Receives the start time of the incarnation that has replied instead.
+RestartHandler: TypeAlias = Callable[[Endpoint, int], None]
 
 
 class LeaseRenewer:
@@ -53,18 +55,20 @@
         table: RunTable,
         on_lists: ListsHandler,
         on_unreachable: UnreachableHandler,
+        on_restart: RestartHandler,
         clock: Clock,
         log: EventLog,
     ) -> None:
         """Prepare the loops; ``on_lists`` is called with every reply.
 
         ``on_unreachable`` is called repeatedly while the endpoint is
-        unreachable.
+        unreachable, ``on_restart`` when another incarnation has replied.
         """
         self._endpoint = endpoint
         self._table = table
         self._on_lists = on_lists
         self._on_unreachable = on_unreachable
+        self._on_restart = on_restart
         self._clock = clock
         self._log = log
 
@@ -80,10 +84,10 @@
         return await self._hold_once(0, _POLL_NOW_TIMEOUT_MS)
 
     async def _acquire_fence(self) -> None:
-        """Read the endpoint's clock and set a fence above the former guard's.
+        """Read the endpoint's clock and set a fence above all former ones.
 
-        Requests of an earlier guard are rejected once the endpoint has
-        received the new fence.
+        Requests of an earlier guard or to an earlier incarnation are rejected
+        once the endpoint has received the new fence.
         """
         while not self._endpoint.is_ready:
             lists = await self._call_hold(HoldRequest(None, 0, 0, 0), LEASE_MS)
@@ -148,6 +152,7 @@
             self._log.warning('fence_refused', fence=self._endpoint.fence)
             self._endpoint.advance_fence()
             return False
+        self._endpoint.record_accepted_fence()
         self._on_lists(self._endpoint, lists, requested_ms)
         return True
 
@@ -160,6 +165,9 @@
         if isinstance(lists, Failure):
             self._record_failed_call(lists)
             return None
+        if not self._endpoint.is_incarnation(lists.born_ms):
+            self._on_restart(self._endpoint, lists.born_ms)
+            return None
         if self._endpoint.record_answer():
             self._log.event('endpoint_regained')
         self._endpoint.record_clock(lists.clock_ms)
--- a/src/borageward/runs/port.py
+++ b/src/borageward/runs/port.py
@@ -12,13 +12,18 @@
 from borageward.messages.runs import Demand, RunOutcome, RunRef
 
 
+# Sequence of a status that the endpoint has not reported itself.
+NOT_REPORTED = -1
+
+
 @attrs.frozen(slots=True)
 class EndpointStatus:
     """Status that an endpoint reports about itself.
 
     A restarted endpoint has another id or another ``born_ms``, the Unix time
-    of its start in milliseconds. ``sequence`` increases with each report of
-    one incarnation.
+    of its start in milliseconds, or zero if it does not report it. ``sequence``
+    increases with each report of one incarnation; it is ``NOT_REPORTED`` for an
+    incarnation that is known from its run lists only.
     """
 
     endpoint_id: str
@@ -100,18 +105,22 @@
 
     ``clock_ms`` is the endpoint's clock at the reply. ``fenced`` is true when
     the call was refused because of its fence; the lists are empty then.
+    ``born_ms`` is the start time of the incarnation that replied, or zero if
+    the reply does not say it.
     """
 
     clock_ms: int
     running: tuple[ListedRun, ...] = ()
     ended: tuple[EndedRun, ...] = ()
     fenced: bool = False
+    born_ms: int = 0
 
 
 class EndpointPort(Protocol):
-    """Calls to one incarnation of an endpoint.
+    """Calls to the incarnations of an endpoint that share an id.
 
-    A call that failed or timed out may still be carried out seconds later.
+    A call that failed or timed out may still be carried out seconds later, by
+    a later incarnation too if that has the same id.
     """
 
     async def start(
--- a/src/borageward/runs/service.py
+++ b/src/borageward/runs/service.py
@@ -89,9 +89,12 @@
         if self._announcer is not None:
             self._announcer.set_endpoint(status.pool, status.labels)
 
-    def report_leaving(self, endpoint_id: str) -> None:
-        """End the incarnation of an endpoint that is shutting down."""
-        self._monitor.report_leaving(endpoint_id)
+    def report_leaving(self, endpoint_id: str, born_ms: int = 0) -> None:
+        """End the incarnation of an endpoint that is shutting down.
+
+        ``born_ms`` is its start time, or zero if it did not name it.
+        """
+        self._monitor.report_leaving(endpoint_id, born_ms)
 
     async def _run(
         self,
--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -11,6 +11,7 @@
 from borageward.messages.runs import RunOutcome, RunRef
 from borageward.policy.endpoint_speed import FailureShare, SlownessEstimate
 from borageward.runs.endpoint import Endpoint
+from borageward.runs.orphans import OrphanRuns
 from borageward.runs.port import (
     EndedRun,
     EndpointLists,
@@ -27,6 +28,8 @@
 _START_TIMEOUT_MS = 120.0
 _STOP_TIMEOUT_MS = 150.0
 _STOP_RETRY_MS = 250.0
+# Delay after a failed stop, which may have been refused at once.
+_FAILED_STOP_RETRY_MS = 20.0
 # Delay after an endpoint refused a start for lack of room although its status
 # reported enough.
 _NO_ROOM_RETRY_MS = 20.0
@@ -62,7 +65,7 @@
         self._read_lists: ListsReader | None = None
         self._speed = SlownessEstimate()
         self._failures = FailureShare()
-        self._stopped_orphans: set[RunRef] = set()
+        self._orphans = OrphanRuns(endpoint, table, clock, log)
         self._no_room_until_ms: Milliseconds = 0
 
     @property
@@ -81,9 +84,15 @@
         return self._failures.share
 
     def start(self, nursery: trio.Nursery, read_lists: ListsReader) -> None:
-        """Use the nursery for calls to the endpoint."""
+        """Use the nursery for calls to the endpoint.
+
+        The runs that a former incarnation has handed over are stopped.
+        """
         self._nursery = nursery
         self._read_lists = read_lists
+        for run in self._table:
+            if run.state is RunState.STOPPING:
+                self._spawn(self._stop, run)
 
     def admit(self) -> None:
         """Start waiting runs by rank until one does not fit.
@@ -131,6 +140,20 @@
                     'endpoint silent until its leases expired',
                 )
 
+    def end_incarnation(self, detail: str, *, same_id: bool) -> None:
+        """Report the runs as lost because the incarnation has ended.
+
+        If the next incarnation has the same id, runs that it may have started
+        are kept for its supervisor. That stops them and ends them by lists
+        that are requested from now on, under a fence that bars the starts.
+        """
+        for run in self._table:
+            if same_id and run.may_start_in_next_incarnation:
+                run.state = RunState.STOPPING
+                run.confirmed_ms = self._clock.now_ms()
+            else:
+                self.end(run, RunOutcome.LOST, detail)
+
     def observe(
         self,
         lists: EndpointLists,
@@ -145,6 +168,8 @@
         listed = {item.ref for item in lists.running}
         for item in lists.running:
             self._handle_running(item.ref, item.percent)
+        for orphan in self._orphans.observe(listed):
+            self._spawn(self._orphans.stop, orphan)
         for run in self._table:
             if run.ref not in listed:
                 self._check_missing(run, requested_ms)
@@ -190,7 +215,7 @@
         # A refusal is also returned when the endpoint could not be connected
         # to, so it does not count as an answer.
         if reply is not StartReply.REFUSED:
-            self._endpoint.record_answer()
+            self._endpoint.record_start_reply()
         if reply is StartReply.STARTED:
             self._mark_running(run)
         elif reply is StartReply.NO_ROOM:
@@ -255,6 +280,7 @@
                 _STOP_TIMEOUT_MS,
             )
             if failure is not None:
+                await self._clock.sleep_ms(_FAILED_STOP_RETRY_MS)
                 continue
             if not confirmed:
                 confirmed = True
@@ -274,7 +300,8 @@
         if run is None:
             return
         now_ms = self._clock.now_ms()
-        if ended.outcome is RunOutcome.DONE and run.confirmed_ms:
+        is_timed = run.state is RunState.RUNNING
+        if ended.outcome is RunOutcome.DONE and is_timed:
             self._speed.observe(now_ms - run.confirmed_ms, run.estimate_ms)
         if ended.outcome in {RunOutcome.DONE, RunOutcome.FAILED}:
             failed = ended.outcome is RunOutcome.FAILED
@@ -284,8 +311,8 @@
     def _handle_running(self, ref: RunRef, percent: float) -> None:
         run = self._table.find(ref)
         if run is None:
-            self._stop_orphan(ref)
             return
+        run.listed = True
         if run.state in {RunState.STARTING, RunState.UNSETTLED}:
             self._mark_running(run)
         if percent > run.percent:
@@ -307,26 +334,6 @@
         if run.confirmed_ms and run.confirmed_ms <= requested_ms:
             self.end(run, RunOutcome.LOST, 'run not listed by endpoint')
 
-    def _stop_orphan(self, ref: RunRef) -> None:
-        """Stop a listed run that is not in the table.
-
-        No session of this guard has requested it, or it was already reported
-        as ended.
-        """
-        if ref in self._stopped_orphans:
-            return
-        self._stopped_orphans.add(ref)
-        self._log.event('orphan_stopped', job=ref.task.job_id, run=ref.run)
-        self._spawn(self._stop_once, ref)
-
-    async def _stop_once(self, ref: RunRef) -> None:
-        await self._endpoint.port.stop(
-            ref,
-            self._endpoint.fence,
-            _STOP_TIMEOUT_MS,
-        )
-        self._stopped_orphans.discard(ref)
-
     def _stop_stalled(self) -> None:
         now_ms = self._clock.now_ms()
         for run in self._table:
--- a/src/borageward/runs/table.py
+++ b/src/borageward/runs/table.py
@@ -31,7 +31,8 @@
     when that request failed, ``confirmed_ms`` when the endpoint confirmed the
     start or stop, and ``progress_ms`` when the progress last changed.
     ``void_after_ms`` is on the endpoint's clock: the endpoint refuses a start
-    request that arrives later.
+    request that arrives later. ``listed`` is set when the current incarnation
+    of the endpoint has listed the run as active.
     """
 
     ref: RunRef
@@ -47,12 +48,22 @@
     confirmed_ms: Milliseconds = 0
     progress_ms: Milliseconds = 0
     percent: float = 0
+    listed: bool = False
 
     @property
     def occupies_endpoint(self) -> bool:
         """Return whether the run may be using capacity of the endpoint."""
         return self.state is not RunState.WAITING
 
+    @property
+    def may_start_in_next_incarnation(self) -> bool:
+        """Return whether a restarted endpoint may carry out the start.
+
+        Calls name the endpoint's id only, so a restarted endpoint with the same
+        id accepts a start that the former incarnation has not carried out.
+        """
+        return self.occupies_endpoint and not self.listed
+
 
 class RunTable:
     """Runs by task; an endpoint has at most one run of a task at a time."""
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -25,6 +25,9 @@
 
 _POLL_MS = 2.0
 _FULL_PERCENT = 100.0
+_MAX_LEASE_MS = 1000
+# The endpoint's clock when the stand-in begins. A restarted one begins at zero.
+_UPTIME_MS = 480_000
 
 
 @attrs.define(slots=True)
@@ -47,9 +50,11 @@
     ``unanswered_starts``, ``unanswered_stops`` and ``unanswered_holds`` are
     the numbers of coming calls that time out without a reply. Such a stop or
     hold has no effect; such a start is executed if
-    ``apply_unanswered_starts`` is set. While ``silent`` is set, the other
-    calls time out without an effect as well. ``failing`` and ``hanging``
-    apply to runs that start while they are set.
+    ``apply_unanswered_starts`` is set, and otherwise by ``apply_late_starts``.
+    ``start_again`` begins another incarnation under the same id.
+
+    While ``silent`` is set, the other calls time out without an effect as well.
+    ``failing`` and ``hanging`` apply to runs that start while they are set.
     """
 
     def __init__(self, clock: Clock, work_ms: Milliseconds = 100) -> None:
@@ -67,6 +72,9 @@
         self.unanswered_holds = 0
         self.apply_unanswered_starts = True
         self.silent = False
+        self.born_ms = 1
+        self._clock_origin_ms: Milliseconds = -_UPTIME_MS
+        self._late_starts: list[StartRequest] = []
         self._fence = 0
         self._lease_ms: Milliseconds = 0
         self._last_end_number = 0
@@ -75,13 +83,31 @@
     @property
     def lease_expired(self) -> bool:
         """Return whether the lease is over, so that no run may continue."""
-        return self.clock.now_ms() > self._lease_ms
+        return self._now_ms() > self._lease_ms
+
+    def start_again(self) -> None:
+        """Begin an incarnation that knows nothing of the former one."""
+        self.born_ms += 1
+        self._clock_origin_ms = self.clock.now_ms()
+        self.running.clear()
+        self.finished.clear()
+        self._fence = 0
+        self._lease_ms = 0
+        self._last_end_number = 0
+        self._highest_run.clear()
+
+    def apply_late_starts(self) -> None:
+        """Execute the unanswered starts that were not executed yet."""
+        late = self._late_starts
+        self._late_starts = []
+        for request in late:
+            self._start(request)
 
     def status(self, **changes: object) -> EndpointStatus:
         """Return the status that the endpoint reports, with changed fields."""
         status = EndpointStatus(
             'endpoint-1',
-            1,
+            self.born_ms,
             '127.0.0.1:1',
             'dispatch',
             Demand(self.slots * 1000, self.slots * 1000),
@@ -102,6 +128,8 @@
             self.unanswered_starts -= 1
             if self.apply_unanswered_starts:
                 self._start(request)
+            else:
+                self._late_starts.append(request)
             await self.clock.sleep_ms(timeout_ms)
             return _timeout()
         await self._delay_reply(timeout_ms)
@@ -151,16 +179,24 @@
             return _timeout()
         self._end_due_runs()
         if not self._accept_fence(request.fence):
-            return EndpointLists(self._now_ms(), fenced=True)
+            return EndpointLists(
+                self._now_ms(),
+                fenced=True,
+                born_ms=self.born_ms,
+            )
         if request.lease_end_ms is not None:
-            self._lease_ms = max(self._lease_ms, request.lease_end_ms)
+            self._extend_lease(request.lease_end_ms)
         self._acknowledge(request.seen_end)
+        born_ms = self.born_ms
         waited_ms: Milliseconds = 0
         while waited_ms < request.wait_ms and not self.finished:
+            if born_ms != self.born_ms:
+                break
             await self.clock.sleep_ms(_POLL_MS)
             waited_ms += _POLL_MS
             self._end_due_runs()
-        return _timeout() if self.silent else self._build_lists()
+        is_broken = self.silent or born_ms != self.born_ms
+        return _timeout() if is_broken else self._build_lists()
 
     async def close(self) -> None:
         """Do nothing, as there is no connection to close."""
@@ -172,6 +208,10 @@
         if active is not None and active.ref.run <= ref.run:
             self._finish(active, RunOutcome.LOST, 'stopped')
 
+    def _extend_lease(self, lease_end_ms: int) -> None:
+        longest_ms = self._now_ms() + _MAX_LEASE_MS
+        self._lease_ms = max(self._lease_ms, min(lease_end_ms, longest_ms))
+
     def _accept_fence(self, fence: int) -> bool:
         if fence < self._fence:
             return False
@@ -183,7 +223,7 @@
             return StartReply.REFUSED
         if request.lease_end_ms < self._now_ms():
             return StartReply.REFUSED
-        self._lease_ms = max(self._lease_ms, request.lease_end_ms)
+        self._extend_lease(request.lease_end_ms)
         task = request.ref.task
         active = self.running.get(task)
         if active is not None:
@@ -209,7 +249,7 @@
         now_ms = self.clock.now_ms()
         for active in tuple(self.running.values()):
             outcome = _outcome_at(active, now_ms)
-            if now_ms > self._lease_ms:
+            if self.lease_expired:
                 self._finish(active, RunOutcome.LOST, 'lease expired')
             elif outcome is not None:
                 self._finish(active, outcome, outcome.value)
@@ -231,7 +271,12 @@
             ListedRun(active.ref, self._percent_done(active))
             for active in self.running.values()
         )
-        return EndpointLists(self._now_ms(), running, tuple(self.finished))
+        return EndpointLists(
+            self._now_ms(),
+            running,
+            tuple(self.finished),
+            born_ms=self.born_ms,
+        )
 
     def _percent_done(self, active: ActiveRun) -> float:
         if active.hangs:
@@ -243,7 +288,7 @@
         )
 
     def _now_ms(self) -> int:
-        return int(self.clock.now_ms())
+        return int(self.clock.now_ms() - self._clock_origin_ms)
 
     async def _delay_reply(self, timeout_ms: Milliseconds) -> None:
         await self.clock.sleep_ms(timeout_ms if self.silent else 1)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -12,9 +12,10 @@
 from borageward.messages.runs import Demand, RunOutcome, RunRef, TaskKey
 from borageward.queues import QueueManifest, QueueRoutes
 from borageward.runs import EndedRun, EndpointStatus, ListedRun, StartReply
+from borageward.telemetry import EventLog
 from borageward_platform import endpointclient, ingress
 from borageward_platform.manifests import decode_manifest
-from borageward_platform.reports import decode_report
+from borageward_platform.reports import ReportServer, decode_report
 from borageward_platform.tasknames import format_task, parse_task
 
 ROUTE = MappingProxyType(
@@ -146,6 +147,38 @@
     assert isinstance(decode_report('i-1', body), str)
 
 
+class FarewellRecorder:
+    """Run service that records which endpoint has left."""
+
+    def __init__(self):
+        self.left = None
+
+    def report_leaving(self, endpoint_id, born_ms):
+        self.left = (endpoint_id, born_ms)
+
+
+@pytest.mark.parametrize(
+    ('body', 'born_ms'),
+    [
+        (b'{"born":17,"seq":4}', 17),
+        (b'', 0),
+        (b'\xff', 0),
+        (b'{"born":"17"}', 0),
+    ],
+)
+async def test_farewell_names_the_incarnation_that_left(body, born_ms):
+    """Guards against a delayed farewell that ends a later incarnation.
+
+    The body may name the start time of the endpoint; without it, the farewell
+    applies to any incarnation with the id.
+    """
+    runs = FarewellRecorder()
+    server = ReportServer(runs, EventLog())
+    request = HttpRequest('DELETE', '/v1/instances/i-1', {}, body)
+    assert (await server.answer(request)).status == 200
+    assert runs.left == ('i-1', born_ms)
+
+
 def decode_submitted_job(job, job_id='5c0e7a21d94b36f8', headers=None):
     """Decode a job as a caller submits it to the queue of the manifest."""
     manifest = decode_manifest(changed(MANIFEST))
@@ -268,6 +301,7 @@
     ).encode()
     lists = endpointclient.decode_endpoint_lists(HttpReply(200, body))
     assert lists.clock_ms == 77
+    assert lists.born_ms == 1
     assert lists.running == (ListedRun(ref, 41),)
     assert lists.ended == (
         EndedRun(5, ref, RunOutcome.DONE, 'done'),
--- a/tests/runs/test_guard_runs.py
+++ b/tests/runs/test_guard_runs.py
@@ -249,7 +249,8 @@
     async with running_guard(work_ms=9000) as (guard, endpoint, entry, _):
         await entry.start(0)
         await trio.sleep(0.1)
-        guard.monitor.report(endpoint.status(born_ms=2))
+        endpoint.start_again()
+        guard.monitor.report(endpoint.status())
         await trio.sleep(0.1)
         assert entry.outcomes() == {(0, 1): 'lost'}
 
