Let no lease keep a run alive that has lost its authority

Cause: when a session expired or an entry stopped a run, the guard repeated the stop, but went on renewing the lease of the endpoint, because the stopping run still counted as active. Starts of other runs extended the lease as well. While the stops stayed unanswered, the run worked on for as long as its task lasted; entries start the task elsewhere 2,150 ms after the last heartbeat, and callers send their job to another entry 1,300 ms after they lost theirs.

While less than the lease of a start is left, waiting runs are refused and the state sent to entries accepts none. Stops of stalled runs limit nothing. An unanswered start that is void by its lease is also stopped until a stop is confirmed, if it is still in the table.

--- a/src/borageward/runs/endpointstate.py
+++ b/src/borageward/runs/endpointstate.py
@@ -5,7 +5,7 @@
 from borageward.clock import Clock, Milliseconds
 from borageward.messages.runs import Demand, EndpointState
 from borageward.runs.sessions import Session, SessionTable
-from borageward.runs.supervisor import RunSupervisor
+from borageward.runs.supervisor import RunSupervisor, accepts_starts
 from borageward.runs.table import RunTable
 
 # Intervals at which an entry without new run ends is sent changes caused by
@@ -53,13 +53,14 @@
         if supervisor is None:
             return self._missing_endpoint(session)
         status = supervisor.endpoint.status
+        now_ms = self._clock.now_ms()
         return EndpointState(
-            self._clock.now_ms(),
+            now_ms,
             session.last_order,
             status.endpoint_id,
             status.pool,
             status.labels,
-            supervisor.endpoint.accepting,
+            accepts_starts(supervisor.endpoint, self._table, now_ms),
             status.capacity,
             self._room(supervisor),
             supervisor.slowness,
--- a/src/borageward/runs/lease.py
+++ b/src/borageward/runs/lease.py
@@ -41,6 +41,16 @@
 RestartHandler: TypeAlias = Callable[[Endpoint, int], None]
 
 
+def lease_limit_ms(table: RunTable, now_ms: Milliseconds) -> Milliseconds:
+    """Return the longest lease that may be granted, which may be negative.
+
+    The lease applies to everything at the endpoint. While the stop of a run
+    without authority is not confirmed, it ends ``LEASE_MS`` after that run lost
+    its authority: entries start the task elsewhere after this time.
+    """
+    return min(LEASE_MS, table.revoked_since_ms() + LEASE_MS - now_ms)
+
+
 class LeaseRenewer:
     """Renews the lease and polls the run lists of one endpoint incarnation.
 
@@ -134,11 +144,8 @@
         The reply of a fenced request is not handled: the fence is raised for
         the next one.
         """
-        lease_end_ms = None
-        if self._table.is_busy() and self._endpoint.answered_recently:
-            lease_end_ms = self._endpoint.grant_lease(LEASE_MS)
         request = HoldRequest(
-            lease_end_ms,
+            self._grant_lease(),
             self._endpoint.fence,
             self._endpoint.seen_end,
             wait_ms,
@@ -156,6 +163,15 @@
         self._on_lists(self._endpoint, lists, requested_ms)
         return True
 
+    def _grant_lease(self) -> int | None:
+        """Return the end of a new lease, or None if none may be granted."""
+        lease_ms = lease_limit_ms(self._table, self._clock.now_ms())
+        if lease_ms <= 0 or not self._endpoint.answered_recently:
+            return None
+        if not self._table.is_busy():
+            return None
+        return self._endpoint.grant_lease(lease_ms)
+
     async def _call_hold(
         self,
         request: HoldRequest,
--- a/src/borageward/runs/orphans.py
+++ b/src/borageward/runs/orphans.py
@@ -11,7 +11,9 @@
 from borageward.telemetry import EventLog
 
 _STOP_TIMEOUT_MS = 150.0
-_STOP_RETRY_MS = 50.0
+_STOP_RETRY_MS = 250.0
+# Delay after a failed stop, which may have been refused at once.
+_FAILED_STOP_RETRY_MS = 20.0
 
 
 class OrphanRuns:
@@ -19,7 +21,7 @@
 
     A start that was reported as lost may be carried out late, and an entry
     may have started the task elsewhere since. Such a run is stopped until the
-    endpoint no longer lists it.
+    endpoint no longer lists it. It limits the lease until a stop is confirmed.
     """
 
     def __init__(
@@ -47,11 +49,22 @@
     async def stop(self, ref: RunRef) -> None:
         """Repeat the stop of an orphan until it is no longer listed."""
         self._log.event('orphan_stopped', job=ref.task.job_id, run=ref.run)
+        self._table.add_orphan(ref, self._clock.now_ms())
+        try:
+            await self._repeat_stop(ref)
+        finally:
+            self._table.remove_orphan(ref)
+            self._stopping.discard(ref)
+
+    async def _repeat_stop(self, ref: RunRef) -> None:
         while ref in self._listed and self._table.find(ref) is None:
-            await self._endpoint.port.stop(
+            failure = await self._endpoint.port.stop(
                 ref,
                 self._endpoint.fence,
                 _STOP_TIMEOUT_MS,
             )
-            await self._clock.sleep_ms(_STOP_RETRY_MS)
-        self._stopping.discard(ref)
+            if failure is None:
+                self._table.remove_orphan(ref)
+            await self._clock.sleep_ms(
+                _STOP_RETRY_MS if failure is None else _FAILED_STOP_RETRY_MS,
+            )
--- a/src/borageward/runs/sessionserver.py
+++ b/src/borageward/runs/sessionserver.py
@@ -242,7 +242,7 @@
         for ref in message.refs:
             run = self._table.find(ref)
             if run is not None and run.session == session.entry:
-                supervisor.stop(run)
+                supervisor.revoke(run, self._clock.now_ms())
 
     async def _expire_sessions(self) -> None:
         while True:
@@ -263,7 +263,7 @@
         supervisor = self._supervisor()
         if supervisor is not None:
             for run in runs:
-                supervisor.stop(run)
+                supervisor.revoke(run, session.echoed_ms + SESSION_TIMEOUT_MS)
 
     async def _send_states(self) -> None:
         while True:
--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -11,6 +11,7 @@
 from borageward.messages.runs import RunOutcome, RunRef
 from borageward.policy.endpoint_speed import FailureShare, SlownessEstimate
 from borageward.runs.endpoint import Endpoint
+from borageward.runs.lease import lease_limit_ms
 from borageward.runs.orphans import OrphanRuns
 from borageward.runs.port import (
     EndedRun,
@@ -40,6 +41,19 @@
 EndHandler = Callable[[Run, RunOutcome, str], None]
 
 
+def accepts_starts(
+    endpoint: Endpoint,
+    table: RunTable,
+    now_ms: Milliseconds,
+) -> bool:
+    """Return whether runs may start at an endpoint.
+
+    None may while the lease is limited to less than a start needs.
+    """
+    is_limited = lease_limit_ms(table, now_ms) < _START_LEASE_MS
+    return endpoint.accepting and not is_limited
+
+
 class RunSupervisor:
     """Starts and stops the runs of one incarnation and tracks their states.
 
@@ -100,7 +114,9 @@
         If the endpoint does not accept runs, all waiting ones are refused.
         """
         waiting = self._table.waiting()
-        if not self._endpoint.accepting:
+        if not accepts_starts(
+            self._endpoint, self._table, self._clock.now_ms()
+        ):
             for refused in waiting:
                 self.end(
                     refused,
@@ -119,6 +135,15 @@
             run.requested_ms = self._clock.now_ms()
             self._spawn(self._start, run)
 
+    def revoke(self, run: Run, revoked_ms: Milliseconds) -> None:
+        """Stop a run that has lost its authority at a time.
+
+        Until the endpoint has confirmed the stop, the lease is not extended
+        beyond its usual duration after this time.
+        """
+        run.revoked_ms = min(run.revoked_ms, revoked_ms)
+        self.stop(run)
+
     def stop(self, run: Run) -> None:
         """Withdraw a waiting run, or stop one that may be active."""
         if run.state is RunState.WAITING:
@@ -150,6 +175,7 @@
         for run in self._table:
             if same_id and run.may_start_in_next_incarnation:
                 run.state = RunState.STOPPING
+                run.stop_confirmed = False
                 run.confirmed_ms = self._clock.now_ms()
             else:
                 self.end(run, RunOutcome.LOST, detail)
@@ -198,10 +224,11 @@
 
     async def _start(self, run: Run) -> None:
         endpoint = self._endpoint
+        limit_ms = lease_limit_ms(self._table, self._clock.now_ms())
         request = StartRequest(
             run.ref,
             run.spec,
-            endpoint.grant_lease(_START_LEASE_MS),
+            endpoint.grant_lease(min(_START_LEASE_MS, limit_ms)),
             endpoint.fence,
         )
         reply = await endpoint.port.start(request, _START_TIMEOUT_MS)
@@ -265,14 +292,16 @@
             if failure is None or passed:
                 run.state = RunState.STOPPING
                 run.confirmed_ms = self._clock.now_ms()
+                run.stop_confirmed = failure is None
                 await self._poll_now()
+        if run.state is RunState.STOPPING and not run.stop_confirmed:
+            await self._stop(run)
 
     async def _poll_now(self) -> None:
         if self._read_lists is not None:
             await self._read_lists()
 
     async def _stop(self, run: Run) -> None:
-        confirmed = False
         while self._table.find(run.ref) is run:
             failure = await self._endpoint.port.stop(
                 run.ref,
@@ -282,9 +311,10 @@
             if failure is not None:
                 await self._clock.sleep_ms(_FAILED_STOP_RETRY_MS)
                 continue
-            if not confirmed:
-                confirmed = True
+            if not run.stop_confirmed:
+                run.stop_confirmed = True
                 run.confirmed_ms = self._clock.now_ms()
+                self.admit()
             await self._clock.sleep_ms(_STOP_RETRY_MS)
 
     def _mark_running(self, run: Run) -> None:
--- a/src/borageward/runs/table.py
+++ b/src/borageward/runs/table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Iterator
 
 import attrs
@@ -32,7 +33,9 @@
     start or stop, and ``progress_ms`` when the progress last changed.
     ``void_after_ms`` is on the endpoint's clock: the endpoint refuses a start
     request that arrives later. ``listed`` is set when the current incarnation
-    of the endpoint has listed the run as active.
+    of the endpoint has listed the run as active. ``revoked_ms`` is when the run
+    lost its authority, and ``stop_confirmed`` is set when the endpoint has
+    confirmed its stop.
     """
 
     ref: RunRef
@@ -49,6 +52,8 @@
     progress_ms: Milliseconds = 0
     percent: float = 0
     listed: bool = False
+    revoked_ms: Milliseconds = math.inf
+    stop_confirmed: bool = False
 
     @property
     def occupies_endpoint(self) -> bool:
@@ -71,6 +76,7 @@
     def __init__(self) -> None:
         """Create an empty table."""
         self._runs: dict[TaskKey, Run] = {}
+        self._orphans: dict[RunRef, Milliseconds] = {}
 
     def __iter__(self) -> Iterator[Run]:
         """Iterate over a copy of the runs."""
@@ -119,6 +125,22 @@
         """Return the capacity that all runs need, waiting ones included."""
         return _total(iter(self))
 
+    def add_orphan(self, ref: RunRef, found_ms: Milliseconds) -> None:
+        """Add an active run that no session has requested."""
+        self._orphans.setdefault(ref, found_ms)
+
+    def remove_orphan(self, ref: RunRef) -> None:
+        """Remove an orphan whose stop is confirmed or that has ended."""
+        self._orphans.pop(ref, None)
+
+    def revoked_since_ms(self) -> Milliseconds:
+        """Return when the first run that may be active lost its authority.
+
+        Runs whose stop is confirmed do not count. Infinite without such a run.
+        """
+        revoked = [run.revoked_ms for run in self if not run.stop_confirmed]
+        return min((*revoked, *self._orphans.values()), default=math.inf)
+
     def is_busy(self) -> bool:
         """Return whether any run may be using capacity of the endpoint."""
         return any(run.occupies_endpoint for run in self)
