Refuse addresses that no process can have

Cause: parse_address let int raise ValueError for a port of more than 4300 digits, which ends the process that parses it; it also took digits of other scripts, unpaired brackets, port 0 and the unspecified address as the address of a peer.

Before: ValueError "Exceeds the limit (4300 digits)"; port '8\u0663' gave 83 and '[[::1:80' gave ::1.

--- a/src/borageward/discovery/replicas.py
+++ b/src/borageward/discovery/replicas.py
@@ -11,7 +11,7 @@
 from borageward.messages.base import Rejected
 from borageward.messages.discovery import DiscoveryReply
 from borageward.messages.queues import ManifestReply
-from borageward.transport import FramePeer, parse_address
+from borageward.transport import FramePeer, parse_peer_address
 
 _Reply: TypeAlias = DiscoveryReply | ManifestReply
 
@@ -69,7 +69,7 @@
         peer = self._peers.get(address)
         if peer is not None:
             return peer
-        parsed = parse_address(address)
+        parsed = parse_peer_address(address)
         if isinstance(parsed, Failure):
             return parsed
         peer = FramePeer(parsed, _Reply, self._nursery)
--- a/src/borageward/transport/__init__.py
+++ b/src/borageward/transport/__init__.py
@@ -6,7 +6,11 @@
 
 from __future__ import annotations
 
-from borageward.transport.address import Address, parse_address
+from borageward.transport.address import (
+    Address,
+    parse_address,
+    parse_peer_address,
+)
 from borageward.transport.codec import Codec
 from borageward.transport.frames import FrameConnection, LinkClosed
 from borageward.transport.listener import FrameListener
@@ -24,4 +28,5 @@
     'LinkClosed',
     'Peer',
     'parse_address',
+    'parse_peer_address',
 )
