Keep a process alive that receives a deeply nested frame

Cause: msgspec raises RecursionError, which is no DecodeError, for nesting of 100,000 levels in a field beyond the last one of a message. It left the server of control replicas, guards and entries, and ended the process.

Change: the codec returns MALFORMED_MESSAGE for it; the connection is closed.

Evidence: tests/transport/test_odd_frames.py; before, the codec raised RecursionError and the server answered no further call (LINK_BROKEN).

--- a/src/borageward/transport/codec.py
+++ b/src/borageward/transport/codec.py
@@ -26,10 +26,14 @@
     def decode(self, frame: bytes) -> MessageT | Failure:
         """Decode a message.
 
-        Returns ``MALFORMED_MESSAGE`` when the bytes are not msgpack or do not
-        match the union.
+        Returns ``MALFORMED_MESSAGE`` when the bytes are not msgpack, do not
+        match the union or are nested too deeply.
         """
         try:
             return self._decoder.decode(frame)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (
+            msgspec.DecodeError,
+            UnicodeDecodeError,
+            RecursionError,
+        ) as error:
             return Failure(FailureReason.MALFORMED_MESSAGE, str(error))
