Hand on only guards that entries can link to

Cause: a control replica stored every announcement unchecked and handed it to all entries: one with an address that cannot be parsed, or with texts so long that the list no longer fits into a frame, reached every entry.

Change: the registry refuses an announcement without a host name, with an address that cannot be connected to, or with long texts or many labels. The guard gets Rejected (INVALID_REQUEST) and bad_guard_address is logged once.

--- a/src/borageward/control/cluster/registry.py
+++ b/src/borageward/control/cluster/registry.py
@@ -7,6 +7,7 @@
 import attrs
 
 from borageward.clock import Clock, Milliseconds
+from borageward.discovery import find_guard_problem
 from borageward.messages.discovery import GuardAddress
 from borageward.telemetry import EventLog
 
@@ -43,14 +44,33 @@
         self._announcements: dict[str, _Announcement] = {}
         self._version = source.getrandbits(_VERSION_BITS)
         self._next_expiry_ms: Milliseconds = 0
+        # A refused guard repeats its announcement; the problem is logged once.
+        self._last_problem = ''
 
     def version(self) -> int:
         """Return the version of the list, which grows with each change."""
         self._expire()
         return self._version
 
-    def announce(self, guard: GuardAddress) -> None:
-        """Add or update a guard, or renew the time of its announcement."""
+    def announce(self, guard: GuardAddress) -> str:
+        """Add or update a guard, or renew the time of its announcement.
+
+        An invalid announcement changes nothing: entries could not use the
+        list. Returns why it is invalid, or an empty text.
+        """
+        problem = find_guard_problem(guard)
+        if not problem:
+            self._store(guard)
+        elif problem != self._last_problem:
+            self._last_problem = problem
+            self._log.warning('bad_guard_address', detail=problem)
+        return problem
+
+    def live(self) -> tuple[GuardAddress, ...]:
+        """Return the guards whose last announcement is recent enough."""
+        return tuple(item.guard for item in self._announcements.values())
+
+    def _store(self, guard: GuardAddress) -> None:
         known = self._announcements.get(guard.host_name)
         now_ms = self._clock.now_ms()
         if known is not None and known.guard == guard:
@@ -64,10 +84,6 @@
             address=guard.link_address,
         )
 
-    def live(self) -> tuple[GuardAddress, ...]:
-        """Return the guards whose last announcement is recent enough."""
-        return tuple(item.guard for item in self._announcements.values())
-
     def _expire(self) -> None:
         now_ms = self._clock.now_ms()
         if now_ms < self._next_expiry_ms:
--- a/src/borageward/control/cluster/service.py
+++ b/src/borageward/control/cluster/service.py
@@ -155,8 +155,7 @@
         if isinstance(request, FetchView):
             return self._cluster_view(replica, request)
         if isinstance(request, AnnounceGuard):
-            self._registry.announce(request.guard)
-            return Announced(_replica_addresses(replica))
+            return self._announce(replica, request)
         if isinstance(request, ManifestRequest):
             reply = await replica.manifests.serve(request)
             return Rejected.of(reply) if isinstance(reply, Failure) else reply
@@ -164,6 +163,16 @@
             return await replica.node.serve(request)
         return await self._handle_join(replica, request)
 
+    def _announce(
+        self,
+        replica: ClusterReplica,
+        request: AnnounceGuard,
+    ) -> _ClusterReply:
+        problem = self._registry.announce(request.guard)
+        if problem:
+            return Rejected(FailureReason.INVALID_REQUEST, problem)
+        return Announced(_replica_addresses(replica))
+
     async def _handle_join(
         self,
         replica: ClusterReplica,
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -257,7 +257,7 @@
             'A guard left the subset of guards that the entry keeps links to.',
         ),
         'bad_guard_address': _warning(
-            'detail', 'The announced address of a guard cannot be parsed.'
+            'detail', 'An announced guard is invalid and is not used.'
         ),
         'entry_drained': _info(
             'requests, connections',
