Keep invalid guards out of the subset of an entry

Cause: a guard without a link counts as usable, so a listed guard whose address cannot be parsed kept out another one, and the entry tried it again and logged it every 100 ms.

Change: the directory drops invalid guards from each list that it receives and logs bad_guard_address; links need an address that can be connected to.

Evidence: test_odd_guard_takes_no_place_in_the_list; all five cases failed before.

--- a/src/borageward/dispatch/directory.py
+++ b/src/borageward/dispatch/directory.py
@@ -7,7 +7,11 @@
 import attrs
 
 from borageward.clock import Clock, Milliseconds
-from borageward.discovery import ReplicaCaller, ReplicaFanout
+from borageward.discovery import (
+    ReplicaCaller,
+    ReplicaFanout,
+    find_guard_problem,
+)
 from borageward.messages.discovery import (
     ClusterView,
     FetchView,
@@ -137,12 +141,28 @@
         if view.guards is None:
             self._confirm_list(address, now_ms)
         else:
-            changed = (
-                self._replace_list(address, view.guards, now_ms) or changed
-            )
+            guards = self._valid_guards(view.guards)
+            changed = self._replace_list(address, guards, now_ms) or changed
         if self._drop_unlisted(now_ms) or changed:
             self._on_change()
 
+    def _valid_guards(
+        self,
+        guards: tuple[GuardAddress, ...],
+    ) -> tuple[GuardAddress, ...]:
+        """Return the guards to which a link is possible; log the others.
+
+        An invalid guard must take no place in the subset of the entry.
+        """
+        problems = [find_guard_problem(guard) for guard in guards]
+        for problem in filter(None, problems):
+            self._log.warning('bad_guard_address', detail=problem)
+        return tuple(
+            guard
+            for guard, problem in zip(guards, problems, strict=True)
+            if not problem
+        )
+
     def _confirm_list(self, address: str, now_ms: Milliseconds) -> None:
         known = self._lists.get(address)
         if known is not None:
--- a/src/borageward/dispatch/fleet.py
+++ b/src/borageward/dispatch/fleet.py
@@ -14,7 +14,7 @@
 from borageward.messages.runs import RunOutcome, RunRef, StartRuns
 from borageward.policy.guard_subset import GuardSubset
 from borageward.telemetry import EventLog
-from borageward.transport import parse_address
+from borageward.transport import parse_peer_address
 
 # Called with the guard's name, a run, its outcome and a description for people.
 EndHandler = Callable[[str, RunRef, RunOutcome, str], None]
@@ -182,7 +182,7 @@
         self._log.event('guard_link_closed', guard=name, links=len(self._links))
 
     def _open_link(self, guard: GuardAddress, nursery: trio.Nursery) -> None:
-        address = parse_address(guard.link_address)
+        address = parse_peer_address(guard.link_address)
         if isinstance(address, Failure):
             self._log.warning('bad_guard_address', detail=address.detail)
             return
--- a/tests/dispatch/test_directory.py
+++ b/tests/dispatch/test_directory.py
@@ -182,3 +182,30 @@
     replicas.calls.clear()
     await trio.sleep(2)
     assert sum(replicas.calls.values()) <= 25
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        GuardAddress('odd', '', 'zone'),
+        GuardAddress('odd', '10.0.0.1:0', 'zone'),
+        GuardAddress('odd', '10.0.0.1:99999999999', 'zone'),
+        GuardAddress('odd', 'host:80', 'zone'),
+        GuardAddress('', '10.0.0.1:80', 'zone'),
+    ],
+)
+async def test_odd_guard_takes_no_place_in_the_list(
+    start_directory, autojump_clock, odd
+):
+    """Guards against links that are missing because of invalid guards.
+
+    A guard without a link counts as usable in the subset of an entry, so one
+    that can never have a link would keep out another one.
+    """
+    replicas = Replicas(a=view(1, guards=(odd, guard('x'))))
+    directory = await start_directory(replicas)
+    assert set(directory.guards) == {'x'}
+    replicas.views['a'] = view(2, guards=(odd, guard('yy')))
+    await trio.sleep(2)
+    assert 'yy' in directory.guards
+    assert directory.manifest.version == 2
