Let only replicas with a usable address join the cluster

Cause: JoinCluster was committed with any address. Each replica opens a link to every member and raised ValueError for an address that cannot be parsed, which ended it, and would again after a restart from the same log.

Change: both addresses of the request are parsed before it reaches the leader's log; others are rejected with INVALID_REQUEST.

--- a/src/borageward/control/cluster/service.py
+++ b/src/borageward/control/cluster/service.py
@@ -32,7 +32,12 @@
 )
 from borageward.queues import QueueManifest
 from borageward.telemetry import EventLog
-from borageward.transport import Address, FrameRpcServer, parse_address
+from borageward.transport import (
+    Address,
+    FrameRpcServer,
+    parse_address,
+    parse_peer_address,
+)
 
 _ClusterRequest: TypeAlias = (
     ConsensusRequest | DiscoveryRequest | ManifestRequest
@@ -178,6 +183,9 @@
         replica: ClusterReplica,
         request: JoinCluster,
     ) -> _ClusterReply:
+        invalid = _find_invalid(request.operator_address, request.address)
+        if invalid is not None:
+            return Rejected.of(invalid)
         if replica.node.leader_term:
             reply = await replica.repair.add_replica(request)
             return Rejected.of(reply) if isinstance(reply, Failure) else reply
@@ -212,6 +220,19 @@
     return tuple(member.member_address for member in replicas)
 
 
+def _find_invalid(*addresses: str) -> Failure | None:
+    """Return the failure of the first address that is not one of a process.
+
+    A committed replica with such an address would end every replica that opens
+    a link to it, also after a restart.
+    """
+    for text in addresses:
+        address = parse_peer_address(text)
+        if isinstance(address, Failure):
+            return address
+    return None
+
+
 def _starting_failure() -> Failure:
     return Failure(
         FailureReason.NO_QUORUM,
