Let a replica join through a leader that is not among its seeds

Cause: a control replica that lost its disk at 31 s asks its three seeds to join. They are followers and name the leader, but a leader that was not among the seeds was never called. The replica stayed outside, its former id stayed a voter (replica_has_another_disk 47 times), and when two more disks were lost at 38 s three of five voters had lost their log. Change: the request goes to the leader that a follower names, once for each address. Evidence: test_replica_joins_a_leader_that_no_seed_names failed before. Why it works: every follower knows the leader's address, so one seed that answers is enough.

--- a/src/borageward/control/cluster/joining.py
+++ b/src/borageward/control/cluster/joining.py
@@ -68,12 +68,18 @@
     async def _request_to_join(self) -> bool:
         """Return whether the leader reports that the id was retired.
 
-        Calls one known replica after the other until the leader answers.
+        Calls one known replica after the other until the leader answers. A
+        leader that one of them names need not be among the seeds.
         """
         targets = list(self._targets())
+        called: set[str] = {self._options.address}
         while targets:
+            target = targets.pop(0)
+            if target in called:
+                continue
+            called.add(target)
             reply = await self._calls.call(
-                targets.pop(0),
+                target,
                 self._request,
                 _CALL_TIMEOUT_MS,
             )
@@ -98,7 +104,4 @@
     """Return the targets, first the leader that a follower has named."""
     if failure.reason is not FailureReason.NOT_LEADER or not failure.detail:
         return targets
-    if failure.detail not in targets:
-        return targets
-    rest = [target for target in targets if target != failure.detail]
-    return [failure.detail, *rest]
+    return [failure.detail, *targets]
