Stop the runs of an entry whose link stays broken for 250 ms

Change: the link of a killed entry breaks at once, so a session has 250 ms to get another link; then its runs lose their authority and are stopped. A live entry reopens a link within 60 to 100 ms. The session itself is kept until it expires, so that an entry that comes back later resumes it and learns the ends. A cut does not break a link at the guard; there the session timeout applies as before.

--- a/src/borageward/runs/sessions.py
+++ b/src/borageward/runs/sessions.py
@@ -21,6 +21,11 @@
 # The runs of an entry without a heartbeat for this time are stopped. A caller
 # repeats a job at another entry 1,300 ms after it lost the first one.
 SESSION_TIMEOUT_MS = 900.0
+# The runs of an entry whose link has broken are stopped after this time, unless
+# it has reopened the link. A live entry needs 60 to 100 ms for that; the link
+# of a killed one breaks at once, and its runs must have ended with a lease of
+# 900 ms before its callers repeat their jobs.
+UNLINKED_TIMEOUT_MS = 250.0
 # A session without runs has no authority to lose, and is kept for longer.
 _IDLE_SESSION_TIMEOUT_MS = 3000.0
 _SESSION_ID_BYTES = 6
@@ -47,7 +52,8 @@
     ``echoed_ms`` is the newest time stamp of this guard that the entry has
     echoed, ``state_sent_ms`` the time of the last state sent to it,
     ``sent_version`` the number of changes that this state contained, and
-    ``last_order`` the number of its last start request.
+    ``last_order`` the number of its last start request. ``unlinked_ms`` is the
+    time when its last link was lost.
     ``unacknowledged`` holds run ends until the entry has acknowledged them;
     ``last_end`` is the number of the last one, ``reported_end`` of the last
     one sent on the current link.
@@ -64,6 +70,7 @@
     reported_end: int = 0
     state_sent_ms: Milliseconds = 0
     sent_version: int = -1
+    unlinked_ms: Milliseconds = -math.inf
 
     @property
     def has_unreported(self) -> bool:
@@ -147,6 +154,16 @@
             if now_ms - item.echoed_ms > _timeout_ms(item, busy)
         ]
 
+    def is_unlinked_since(
+        self,
+        session: Session,
+        unlinked_ms: Milliseconds,
+    ) -> bool:
+        """Return whether a session is open and has had no link since a time."""
+        if self._sessions.get(session.entry) is not session:
+            return False
+        return session.link is None and session.unlinked_ms == unlinked_ms
+
     def remove(self, session: Session) -> None:
         """Remove a session unless a newer one has replaced it."""
         if self._sessions.get(session.entry) is session:
--- a/src/borageward/runs/sessionserver.py
+++ b/src/borageward/runs/sessionserver.py
@@ -24,6 +24,7 @@
 from borageward.runs.link import EntryLink
 from borageward.runs.sessions import (
     SESSION_TIMEOUT_MS,
+    UNLINKED_TIMEOUT_MS,
     Session,
     SessionTable,
 )
@@ -100,7 +101,11 @@
         self.notify()
 
     async def serve(self, stream: trio.abc.Stream) -> None:
-        """Serve one connection of an entry until it is closed."""
+        """Serve one connection of an entry until it is closed.
+
+        The runs of the entry are stopped if it does not open another in time.
+        Its session is kept, so that it learns later how they have ended.
+        """
         link = EntryLink(stream)
         async with trio.open_nursery() as nursery:
             await link.run(
@@ -111,6 +116,12 @@
         session = self._by_link.pop(link, None)
         if session is not None and session.link is link:
             session.link = None
+            unlinked_ms = self._clock.now_ms()
+            session.unlinked_ms = unlinked_ms
+            await self._clock.sleep_ms(UNLINKED_TIMEOUT_MS)
+            if self._sessions.is_unlinked_since(session, unlinked_ms):
+                expiry_ms = unlinked_ms + UNLINKED_TIMEOUT_MS
+                self._revoke_runs(session, expiry_ms, 'session_unlinked')
 
     async def run(self) -> None:
         """Send states and expire sessions until cancelled."""
@@ -248,22 +259,29 @@
         while True:
             await self._clock.sleep_ms(self._expiry_wait_ms())
             for session in self._sessions.expired(self._table.sessions()):
-                self._expire(session)
+                self._sessions.remove(session)
+                expiry_ms = session.echoed_ms + SESSION_TIMEOUT_MS
+                self._revoke_runs(session, expiry_ms, 'session_expired')
 
     def _expiry_wait_ms(self) -> Milliseconds:
         """Return the time until a session expires that is not extended."""
         wait_ms = self._sessions.first_expiry_ms() - self._clock.now_ms()
         return min(_MAX_EXPIRY_WAIT_MS, max(_MIN_EXPIRY_WAIT_MS, wait_ms))
 
-    def _expire(self, session: Session) -> None:
+    def _revoke_runs(
+        self,
+        session: Session,
+        revoked_ms: Milliseconds,
+        event: str,
+    ) -> None:
+        """Stop the runs of a session that lost their authority at a time."""
         runs = self._table.of_session(session.entry)
         report = self._log.warning if runs else self._log.event
-        report('session_expired', entry=session.entry, runs=len(runs))
-        self._sessions.remove(session)
+        report(event, entry=session.entry, runs=len(runs))
         supervisor = self._supervisor()
         if supervisor is not None:
             for run in runs:
-                supervisor.revoke(run, session.echoed_ms + SESSION_TIMEOUT_MS)
+                supervisor.revoke(run, revoked_ms)
 
     async def _send_states(self) -> None:
         while True:
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -295,6 +295,10 @@
             'entry, runs',
             'An entry was silent for too long; its runs are stopped.',
         ),
+        'session_unlinked': _warning(
+            'entry, runs',
+            'An entry did not reopen its link in time; its runs are stopped.',
+        ),
         'start_unanswered': _warning(
             'job, task, run, reason',
             'A start order got no answer; its effect has to be settled.',
