Log when and how operators' calls end

Of a change without an acknowledgement in time, the log did not tell when it had reached a replica, how long it had waited there and whether it was answered: reads answered by the leader left no line at all, and neither did operators that disconnected first. operator_call_ended has the method, the status and the duration of each call.

--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -205,6 +205,10 @@
             'call, leader',
             'A follower that could not reach the leader redirected a call.',
         ),
+        'operator_call_ended': _info(
+            'call, status, took_ms',
+            'An operator got an answer, or left before it if status is 0.',
+        ),
         'manifest_refused': _warning(
             'detail', 'A submitted manifest is invalid.'
         ),
