--- a/tests/control/test_manifests.py
+++ b/tests/control/test_manifests.py
@@ -21,6 +21,8 @@
 LIMITS = RequestLimits(1000, 1000, 1000, 1000)
 ADDRESS = '127.0.0.1:1'
 CALL_MS = 300
+# Long enough for an election after the loss of the leader.
+ELECTION_MS = 6000
 
 
 def manifest(version, document=b'{}'):
@@ -285,3 +287,27 @@
         assert reply.reason is FailureReason.NOT_LEADER
 
     run(scenario)
+
+
+def test_order_sent_during_an_election_reaches_the_new_leader():
+    """Guards against an order that waits for the former, frozen leader.
+
+    A follower that has passed it on must pass it on again, or store it, once
+    another leader is elected. Otherwise the operator is refused although a
+    majority could have stored the order in time.
+    """
+
+    async def scenario(cluster, nursery):
+        follower = await follower_of(cluster)
+        frozen = await cluster.wait_leader()
+        frozen.gate.freeze()
+        frozen.alive = False
+        cluster.network.isolate(frozen.voter_id)
+        stored = await follower.manifests.publish(manifest(8), ELECTION_MS)
+        # The write that the frozen process had begun cannot be cancelled.
+        frozen.gate.thaw()
+        assert stored == ManifestStored(8)
+        assert await follower.manifests.newest(CALL_MS) == manifest(8)
+
+    for seed in range(5):
+        run(scenario, seed)
