Take an endpoint that refuses connections for unreachable at once

Cause: a failed call made the endpoint unreachable only 500 ms after its last answer, whatever the failure, and the entries learnt of it with the next turn of the renewal loop, up to 300 ms later. An empty crashed endpoint was the least loaded one, so it was chosen again.

Change: a refused connection makes it unreachable at once and is reported at once; a refused start reads the lists before its end is reported; the lease of an unreachable endpoint is not extended. Nothing can have been sent on a connection that was never open, so the last lease stays the true one.

Three tests failed before: test_endpoint_that_refuses_connections_takes_no_work, test_refused_start_reveals_a_crashed_endpoint and test_runs_of_a_crashed_endpoint_end_with_its_last_lease.

--- a/src/borageward/runs/endpoint.py
+++ b/src/borageward/runs/endpoint.py
@@ -8,8 +8,9 @@
 # Factor on elapsed time and lease durations: the endpoint's clock may be 2%
 # slow, and the estimate of it must not run ahead.
 _CLOCK_MARGIN = 0.97
-# A failed call makes the endpoint unreachable only if it has not answered any
-# call for this time. A single lost reply does not.
+# A call without a reply makes the endpoint unreachable only if it has not
+# answered any call for this time, because a single reply may be lost. A refused
+# connection makes it unreachable at once.
 _UNREACHABLE_AFTER_MS = 500.0
 # Leases are extended only while the last answer is more recent than this. A
 # busy endpoint is polled every 250 ms.
@@ -82,6 +83,8 @@
     @property
     def answered_recently(self) -> bool:
         """Return whether the last answer allows leases to be extended."""
+        if not self._reachable:
+            return False
         return self._clock.now_ms() - self._last_answer_ms < _RECENT_ANSWER_MS
 
     @property
@@ -116,13 +119,15 @@
         self._reachable = True
         return regained
 
-    def record_failed_call(self) -> bool:
+    def record_failed_call(self, *, refused: bool = False) -> bool:
         """Record a failed call.
 
-        Returns whether the endpoint has become unreachable with this call.
+        ``refused`` says that no connection could be opened. Returns whether
+        the endpoint has become unreachable with this call.
         """
         unanswered_ms = self._clock.now_ms() - self._last_answer_ms
-        lost = self._reachable and unanswered_ms > _UNREACHABLE_AFTER_MS
+        is_silent = refused or unanswered_ms > _UNREACHABLE_AFTER_MS
+        lost = self._reachable and is_silent
         if lost:
             self._reachable = False
         return lost
--- a/src/borageward/runs/lease.py
+++ b/src/borageward/runs/lease.py
@@ -8,7 +8,7 @@
 import trio
 
 from borageward.clock import Clock, Milliseconds
-from borageward.failures import Failure
+from borageward.failures import Failure, FailureReason
 from borageward.runs.endpoint import Endpoint
 from borageward.runs.port import EndpointLists, HoldRequest
 from borageward.runs.table import RunTable
@@ -166,9 +166,11 @@
         return lists
 
     def _record_failed_call(self, failure: Failure) -> None:
-        if self._endpoint.record_failed_call():
+        refused = failure.reason is FailureReason.RUNNER_UNREACHABLE
+        if self._endpoint.record_failed_call(refused=refused):
             self._log.warning(
                 'endpoint_lost',
                 reason=failure.reason.value,
                 detail=failure.detail,
             )
+            self._on_unreachable(self._endpoint)
--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -188,9 +188,14 @@
             await self._poll_now()
             return
         # A refusal is also returned when the endpoint could not be connected
-        # to, so it does not count as an answer.
-        if reply is not StartReply.REFUSED:
+        # to. The poll finds that out, so that the entry learns with the end of
+        # the run whether the endpoint takes other work.
+        if reply is StartReply.REFUSED:
+            await self._poll_now()
+        else:
             self._endpoint.record_answer()
+        if run.state is not RunState.STARTING:
+            return
         if reply is StartReply.STARTED:
             self._mark_running(run)
         elif reply is StartReply.NO_ROOM:
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -48,8 +48,9 @@
     the numbers of coming calls that time out without a reply. Such a stop or
     hold has no effect; such a start is executed if
     ``apply_unanswered_starts`` is set. While ``silent`` is set, the other
-    calls time out without an effect as well. ``failing`` and ``hanging``
-    apply to runs that start while they are set.
+    calls time out without an effect as well. While ``down`` is set, connections
+    are refused as after a crash. ``failing`` and ``hanging`` apply to runs that
+    start while they are set.
     """
 
     def __init__(self, clock: Clock, work_ms: Milliseconds = 100) -> None:
@@ -67,6 +68,7 @@
         self.unanswered_holds = 0
         self.apply_unanswered_starts = True
         self.silent = False
+        self.down = False
         self._fence = 0
         self._lease_ms: Milliseconds = 0
         self._last_end_number = 0
@@ -97,6 +99,8 @@
         timeout_ms: Milliseconds,
     ) -> StartReply | Failure:
         """Start a run and return the reply, or ``TIMEOUT`` without one."""
+        if self.down:
+            return StartReply.REFUSED
         self._end_due_runs()
         if self.unanswered_starts:
             self.unanswered_starts -= 1
@@ -119,6 +123,8 @@
         ``TIMEOUT`` without a reply and ``INVALID_REQUEST`` for an outdated
         fence.
         """
+        if self.down:
+            return _unreachable()
         if self.unanswered_stops:
             self.unanswered_stops -= 1
             await self.clock.sleep_ms(timeout_ms)
@@ -142,6 +148,8 @@
         Waits up to ``wait_ms`` of the request for an ended run. Returns
         ``TIMEOUT`` without a reply.
         """
+        if self.down:
+            return _unreachable()
         await self._delay_reply(timeout_ms)
         if self.silent:
             return _timeout()
@@ -158,6 +166,8 @@
         waited_ms: Milliseconds = 0
         while waited_ms < request.wait_ms and not self.finished:
             await self.clock.sleep_ms(_POLL_MS)
+            if self.down:
+                return Failure(FailureReason.LINK_BROKEN, 'endpoint crashed')
             waited_ms += _POLL_MS
             self._end_due_runs()
         return _timeout() if self.silent else self._build_lists()
@@ -258,3 +268,7 @@
 
 def _timeout() -> Failure:
     return Failure(FailureReason.TIMEOUT, 'no reply')
+
+
+def _unreachable() -> Failure:
+    return Failure(FailureReason.RUNNER_UNREACHABLE, 'connection refused')
--- a/tests/runs/test_guard_runs.py
+++ b/tests/runs/test_guard_runs.py
@@ -383,6 +383,51 @@
         assert endpoint.lease_expired
 
 
+async def test_endpoint_that_refuses_connections_takes_no_work(autojump_clock):
+    """Guards against tasks sent to an endpoint that has just crashed.
+
+    A refused connection must count at once; with the time-out for a silent
+    endpoint, tasks were sent there and refused for 0.5 s.
+    """
+    async with running_guard(work_ms=9000) as (_, endpoint, entry, _nursery):
+        await entry.start(0)
+        await trio.sleep(0.5)
+        endpoint.down = True
+        await trio.sleep(0.1)
+        assert not entry.state.accepting
+
+
+async def test_refused_start_reveals_a_crashed_endpoint(autojump_clock):
+    """Guards against a task that returns to a crashed endpoint again and again.
+
+    The state sent with the refusal must say that the endpoint takes no work.
+    """
+    async with running_guard() as (_, endpoint, entry, _nursery):
+        endpoint.down = True
+        await entry.start(0)
+        while not entry.ends:
+            await trio.sleep(0.001)
+        await trio.sleep(0.002)
+        assert not entry.state.accepting
+
+
+async def test_runs_of_a_crashed_endpoint_end_with_its_last_lease(
+    autojump_clock,
+):
+    """Guards against jobs that wait for a crashed endpoint too long.
+
+    A lease is not extended by calls that cannot be sent, so the runs end
+    1.1 s after the crash, and not before their lease.
+    """
+    async with running_guard(work_ms=9000) as (_, endpoint, entry, _nursery):
+        await entry.start(0)
+        await trio.sleep(0.5)
+        endpoint.down = True
+        await trio.sleep(1.15)
+        assert len(entry.ends) == 1
+        assert endpoint.lease_expired
+
+
 async def test_silent_endpoint_that_answers_again_is_used(autojump_clock):
     """Guards against an endpoint that stays unused after a short outage.
 
