Report runs whose endpoint crashed as crashed, not as lost

Cause, first part: the guard reported such runs as lost, like those of a session that expired or of an endpoint that left, so an entry could not count crashes.

Change: RunOutcome.CRASHED for runs that may have been at work when their endpoint started again or its last lease expired. Runs that waited or were being stopped, and those of an endpoint that has left, stay LOST.

--- a/src/borageward/messages/runs.py
+++ b/src/borageward/messages/runs.py
@@ -77,6 +77,8 @@
     FAILED = 'failed'
     # The run no longer executes, and no failure of the task was reported.
     LOST = 'lost'
+    # The endpoint crashed or vanished while the run may have been at work.
+    CRASHED = 'crashed'
     # The run never started.
     REFUSED = 'refused'
     # The run never started, because the endpoint has seen a run of the task
--- a/src/borageward/runs/incarnations.py
+++ b/src/borageward/runs/incarnations.py
@@ -11,7 +11,11 @@
 from borageward.runs.endpoint import Endpoint
 from borageward.runs.lease import LEASE_MS, LeaseRenewer
 from borageward.runs.port import EndpointLists, EndpointPort, EndpointStatus
-from borageward.runs.supervisor import EndHandler, RunSupervisor
+from borageward.runs.supervisor import (
+    EndHandler,
+    RunSupervisor,
+    crash_outcome,
+)
 from borageward.runs.table import RunTable
 from borageward.telemetry import EventLog
 
@@ -26,7 +30,7 @@
     """Processes the status reports of the endpoint and supervises its runs.
 
     A new incarnation does not continue the runs of the former one, so these
-    are reported as lost.
+    are reported as crashed, or as lost if the former one had left.
     """
 
     def __init__(
@@ -183,8 +187,10 @@
         self._supervisor = None
         self._scope.cancel()
         if supervisor is not None:
+            left = supervisor.endpoint.has_left
             for run in self._table:
-                supervisor.end(run, RunOutcome.LOST, detail)
+                outcome = RunOutcome.LOST if left else crash_outcome(run)
+                supervisor.end(run, outcome, detail)
         self._on_change()
 
     def _handle_lists(
--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -119,15 +119,16 @@
             self._spawn(self._stop, run)
 
     def end_expired(self) -> None:
-        """Report all started runs as lost once their leases have expired."""
+        """Report all started runs as crashed once their leases have expired."""
         if not self._endpoint.leases_expired():
             return
         for run in self._table:
             if run.occupies_endpoint:
+                outcome = crash_outcome(run)
                 run.state = RunState.STOPPING
                 self.end(
                     run,
-                    RunOutcome.LOST,
+                    outcome,
                     'endpoint silent until its leases expired',
                 )
 
@@ -344,3 +345,13 @@
                 )
                 self._failures.observe(run.ref.task.job_id, failed=True)
                 self.stop(run)
+
+
+def crash_outcome(run: Run) -> RunOutcome:
+    """Return the outcome of a run whose endpoint has crashed or vanished.
+
+    A run that waits or is being stopped cannot have caused it.
+    """
+    if run.state in {RunState.WAITING, RunState.STOPPING}:
+        return RunOutcome.LOST
+    return RunOutcome.CRASHED
--- a/tests/runs/test_guard_runs.py
+++ b/tests/runs/test_guard_runs.py
@@ -244,13 +244,26 @@
     """Guards against waiting for runs that ended with an endpoint crash.
 
     The restarted endpoint reports a later start time, which marks all runs of
-    its former incarnation as lost.
+    its former incarnation as crashed. A run that still waited for capacity is
+    lost: it cannot have caused the crash.
     """
     async with running_guard(work_ms=9000) as (guard, endpoint, entry, _):
-        await entry.start(0)
+        await entry.start(0, 1, 2, 3, 4)
         await trio.sleep(0.1)
         guard.monitor.report(endpoint.status(born_ms=2))
         await trio.sleep(0.1)
+        outcomes = entry.outcomes()
+        assert outcomes.pop((4, 1)) == 'lost'
+        assert outcomes == {(index, 1): 'crashed' for index in range(4)}
+
+
+async def test_runs_of_an_endpoint_that_leaves_are_not_crashed(autojump_clock):
+    """Guards against tasks blamed for an endpoint that shut down as planned."""
+    async with running_guard(work_ms=9000) as (guard, endpoint, entry, _):
+        await entry.start(0)
+        await trio.sleep(0.1)
+        guard.monitor.report_leaving(endpoint.status().endpoint_id)
+        await trio.sleep(0.1)
         assert entry.outcomes() == {(0, 1): 'lost'}
 
 
@@ -379,7 +392,7 @@
         assert not entry.ends
         assert not entry.state.accepting
         await trio.sleep(1.2)
-        assert entry.outcomes() == {(0, 1): 'lost'}
+        assert entry.outcomes() == {(0, 1): 'crashed'}
         assert endpoint.lease_expired
 
 
