Give up a task that crashes its endpoints

Innocent tasks went along and saw up to 6 crashes.

Cause: the job repeated a crashed run without limit, and all runs of a crashed endpoint were placed again in one round, on the endpoint with most room: those beside a deadly task stayed beside it.

Change: a task is a suspect from its first crash on. Suspects of an entry are placed on different endpoints while others have room, and on lightly loaded ones. The job fails when its task was the only suspect at a second crash at about the same point of its work, and with the third crash in any case. Runs that are lost without a crash are not counted. The event task_crashed tells the decision.

Tests that failed before: test_suspects_run_on_different_endpoints, test_second_crash_under_a_single_suspect_fails_its_job, test_task_that_crashes_its_endpoints_is_given_up, test_task_beside_another_suspect_is_not_blamed, test_crash_at_another_point_of_the_work_is_not_blamed, test_task_is_not_started_after_three_crashes, test_suspect_shares_its_endpoint_with_few.

--- a/src/borageward/dispatch/candidates.py
+++ b/src/borageward/dispatch/candidates.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 import attrs
 
 from borageward.clock import Milliseconds
@@ -80,10 +82,12 @@
     now_ms: Milliseconds,
     *,
     accepts_late: bool,
+    suspects: Collection[str] | None = None,
 ) -> PlacementNeed:
     """Return the requirements of a task on its endpoint.
 
     ``accepts_late`` allows an endpoint that would miss the goal of the job.
+    ``suspects`` names the guards that run suspects, if the task is one.
     """
     step = job.request.steps[task.key.step]
     excluded: frozenset[str] = frozenset()
@@ -96,8 +100,9 @@
         accepts_late,
         step.required_label,
         step.data_rack,
-        task.failed_on,
+        task.failed_on.union(suspects or ()),
         excluded,
+        is_suspect=task.is_suspect,
     )
 
 
--- a/src/borageward/dispatch/dispatcher.py
+++ b/src/borageward/dispatch/dispatcher.py
@@ -113,7 +113,10 @@
         if task.run != ref.run or task.state is not TaskState.PLACED:
             return
         self._log_end(guard, ref, outcome, detail)
-        _apply_outcome(job, task, outcome)
+        if outcome is RunOutcome.CRASHED:
+            self._handle_crash(job, task)
+        else:
+            _apply_outcome(job, task, outcome)
         if self._has_unplaced or job.waiting():
             self.wake()
 
@@ -124,6 +127,23 @@
             self._wake = trio.Event()
             self._dispatch()
 
+    def _handle_crash(self, job: Job, task: JobTask) -> None:
+        now_ms = self._clock.now_ms()
+        suspects = sum(
+            item.suspects_at(task.guard, now_ms) for item in self._jobs.values()
+        )
+        others = suspects > int(task.is_suspect)
+        job.crash(task, now_ms, other_suspects=others)
+        self._log.event(
+            'task_crashed',
+            job=job.request.job_id,
+            task=task.key.index,
+            guard=task.guard,
+            crashes=len(task.crash_ages_ms),
+            age_ms=round(task.crash_ages_ms[-1]),
+            suspects=suspects,
+        )
+
     def _dispatch(self) -> None:
         """Place the tasks that fit and refuse jobs that would wait too long."""
         waiting_tasks = self._waiting_by_slack()
@@ -203,6 +223,15 @@
         retry_ms = retry_after_ms(backlog)
         job.end(JobOutcome(JobVerdict.REFUSED, 'overloaded', retry_ms))
 
+    def _suspects(self) -> set[str]:
+        """Return the guards that run suspects."""
+        return {
+            task.guard
+            for job in self._jobs.values()
+            for task in job.placed()
+            if task.is_suspect
+        }
+
     def _place(
         self,
         waiting: _WaitingTask,
@@ -220,13 +249,14 @@
                 task,
                 now_ms,
                 accepts_late=accepts_late,
+                suspects=self._suspects() if task.is_suspect else None,
             ),
             candidates.of_pool(job.request.queue.pool),
         )
         if chosen is None:
             return False
         chosen.reserve(step.demand)
-        ref = job.place(task, chosen.name)
+        ref = job.place(task, chosen.name, now_ms)
         order = StartRuns(
             order=0,
             job_id=job.request.job_id,
--- a/src/borageward/dispatch/job.py
+++ b/src/borageward/dispatch/job.py
@@ -11,12 +11,15 @@
 from borageward.clock import Milliseconds
 from borageward.dispatch.request import JobOutcome, JobRequest, JobVerdict
 from borageward.messages.runs import RunRef, TaskKey
+from borageward.policy.crash_blame import is_to_blame
 from borageward.policy.run_order import RunGoal, job_goal_ms
 
 # An endpoint refuses a run of a task when it knows a higher run number. A job
 # that was submitted to another entry before may have had up to this many runs
 # of a task there, so the run number is raised beyond them.
 _OUTRUN_RUN_INCREMENT = 16
+# The runs that one crash has ended are reported within this time.
+_REPORT_SPREAD_MS = 100.0
 
 
 class TaskState(enum.Enum):
@@ -37,7 +40,10 @@
     """One task of a job.
 
     ``run`` is the number of its newest run and ``guard`` the guard where that
-    run was ordered. ``failed_on`` names the guards whose endpoints failed it.
+    run was ordered, at ``placed_ms``. ``failed_on`` names the guards whose
+    endpoints failed it. ``crash_ages_ms`` holds, for each endpoint that crashed
+    under a run of the task, the time from the order to the report of the crash;
+    ``crashed_ms`` is the time of the last report.
     """
 
     key: TaskKey
@@ -45,7 +51,28 @@
     run: int = 0
     failures: int = 0
     guard: str = ''
+    placed_ms: Milliseconds = 0
     failed_on: set[str] = attrs.field(factory=set)
+    crash_ages_ms: list[Milliseconds] = attrs.field(factory=list)
+    crashed_ms: Milliseconds = 0
+
+    @property
+    def is_suspect(self) -> bool:
+        """Return whether an endpoint has crashed under a run of the task."""
+        return bool(self.crash_ages_ms)
+
+    def was_suspect_at(self, guard: str, now_ms: Milliseconds) -> bool:
+        """Return whether the task was a suspect when an endpoint crashed.
+
+        The crash is reported for each run separately, so the task may have
+        been told of it already.
+        """
+        if self.guard != guard:
+            return False
+        if self.state is TaskState.PLACED:
+            return self.is_suspect
+        is_same_crash = now_ms - self.crashed_ms < _REPORT_SPREAD_MS
+        return is_same_crash and len(self.crash_ages_ms) > 1
 
     @property
     def ref(self) -> RunRef:
@@ -123,6 +150,12 @@
             task for task in self._all_tasks() if task.state is TaskState.PLACED
         ]
 
+    def suspects_at(self, guard: str, now_ms: Milliseconds) -> int:
+        """Return the number of suspects at a guard whose endpoint crashed."""
+        return sum(
+            task.was_suspect_at(guard, now_ms) for task in self._all_tasks()
+        )
+
     def guards(self) -> str:
         """Return the guard of each task's newest run, as text for logs."""
         return ','.join(task.guard or '-' for task in self._all_tasks())
@@ -135,9 +168,15 @@
                 return step[key.index]
         return None
 
-    def place(self, task: JobTask, guard: str) -> RunRef:
+    def place(
+        self,
+        task: JobTask,
+        guard: str,
+        now_ms: Milliseconds = 0,
+    ) -> RunRef:
         """Begin a new run of a task at a guard and return its reference."""
         task.run += 1
+        task.placed_ms = now_ms
         task.state = TaskState.PLACED
         task.guard = guard
         self.ordered = True
@@ -172,6 +211,24 @@
         if task.failures >= self._request.queue.max_attempts:
             self.end(JobOutcome(JobVerdict.FAILED, 'attempts used up'))
 
+    def crash(
+        self,
+        task: JobTask,
+        now_ms: Milliseconds,
+        *,
+        other_suspects: bool = False,
+    ) -> None:
+        """Count a crash of the endpoint under a run and let the task wait.
+
+        The job fails when the task is to blame for its crashes.
+        ``other_suspects`` says that another suspect ran at that endpoint.
+        """
+        task.crash_ages_ms.append(now_ms - task.placed_ms)
+        task.crashed_ms = now_ms
+        task.state = TaskState.WAITING
+        if is_to_blame(task.crash_ages_ms, other_suspects=other_suspects):
+            self.end(JobOutcome(JobVerdict.FAILED, 'task crashes endpoints'))
+
     def retry(self, task: JobTask, *, outrun: bool = False) -> None:
         """Let a task wait again without counting a failed attempt.
 
--- a/src/borageward/policy/run_placement.py
+++ b/src/borageward/policy/run_placement.py
@@ -28,6 +28,8 @@
 _RUN_WEIGHT = 0.3
 # Cost of the load, for a fully used endpoint.
 _LOAD_WEIGHT = 0.15
+# The same for a task under which an endpoint has crashed.
+_SUSPECT_LOAD_WEIGHT = 1.5
 # Cost of ending after the goal, for each multiple of the estimate.
 _LATE_WEIGHT = 3.0
 # Share of the time to the goal that the expected run time may use.
@@ -114,6 +116,7 @@
     data_rack: str = ''
     avoided: AbstractSet[str] = frozenset()
     excluded: AbstractSet[str] = frozenset()
+    is_suspect: bool = False
 
     @property
     def is_urgent(self) -> bool:
@@ -219,7 +222,8 @@
         run_ms = _run_ms(need, candidate)
         cost = _RUN_WEIGHT * run_ms / estimate_ms
         cost += _LATE_WEIGHT * _late_ms(need, candidate) / estimate_ms
-        cost += _LOAD_WEIGHT * candidate.load
+        weight = _SUSPECT_LOAD_WEIGHT if need.is_suspect else _LOAD_WEIGHT
+        cost += weight * candidate.load
         return cost + self._random.uniform(0, _RANDOM_SPREAD)
 
 
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -245,6 +245,11 @@
             'job, task, run, guard, outcome, detail',
             'A run ended with an outcome other than `done`.',
         ),
+        'task_crashed': _info(
+            'job, task, guard, crashes, age_ms, suspects',
+            'An endpoint crashed under a run; `crashes` counts those of the '
+            'task, `suspects` the tasks there with an earlier one.',
+        ),
         'guard_found': _info(
             'guard, resumed, runs',
             'A session with the guard was opened or resumed.',
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -181,6 +181,60 @@
     assert item.outcome.verdict is JobVerdict.FAILED
 
 
+async def test_suspects_run_on_different_endpoints(
+    start_dispatcher, autojump_clock
+):
+    """Guards against innocent tasks that go along with a deadly one.
+
+    All three tasks saw the endpoint crash. If they run together again, the
+    next crash says no more about which of them caused it.
+    """
+    links = [Link('a')] + [Link(name, slowness=2) for name in 'bcd']
+    dispatcher, fleet = start_dispatcher(*links)
+    item = job(count=3, estimate_ms=500)
+    dispatcher.add(item)
+    await trio.sleep(0.01)
+    assert {guard for guard, _ in fleet.orders} == {'a'}
+    for guard, ref in tuple(fleet.orders):
+        dispatcher.handle_end(guard, ref, RunOutcome.CRASHED, 'crashed')
+    fleet.orders.clear()
+    await trio.sleep(0.01)
+    assert len({guard for guard, _ in fleet.orders}) == 3
+
+
+async def test_second_crash_under_a_single_suspect_fails_its_job(
+    start_dispatcher, autojump_clock
+):
+    """Guards against a task that crashes endpoint after endpoint."""
+    dispatcher, fleet = start_dispatcher(Link('a'), Link('b'))
+    item = job()
+    dispatcher.add(item)
+    for _ in range(2):
+        await trio.sleep(0.01)
+        guard, ref = fleet.orders[-1]
+        dispatcher.handle_end(guard, ref, RunOutcome.CRASHED, 'crashed')
+    await trio.sleep(0.01)
+    assert item.outcome.verdict is JobVerdict.FAILED
+    assert len(fleet.orders) == 2
+
+
+async def test_second_crash_under_two_suspects_fails_neither(
+    start_dispatcher, autojump_clock
+):
+    """Guards against an innocent job failed for a deadly task beside it.
+
+    There is one endpoint only, so both suspects run there again.
+    """
+    dispatcher, fleet = start_dispatcher(Link('a'))
+    item = job(count=2)
+    dispatcher.add(item)
+    for _ in range(2):
+        await trio.sleep(0.01)
+        for guard, ref in fleet.orders[-2:]:
+            dispatcher.handle_end(guard, ref, RunOutcome.CRASHED, 'crashed')
+    assert item.outcome is None
+
+
 async def test_end_of_an_earlier_run_is_ignored(
     start_dispatcher, autojump_clock
 ):
--- a/tests/dispatch/test_job.py
+++ b/tests/dispatch/test_job.py
@@ -4,7 +4,7 @@
 
 from borageward.dispatch.job import Job, TaskState
 from borageward.dispatch.request import JobRequest, JobVerdict, StepSpec
-from borageward.messages.runs import Demand
+from borageward.messages.runs import Demand, TaskKey
 from borageward.queues import Queue
 
 QUEUE = Queue('q', 'host', '/q/', 'pool', 0, 3, 1.6, 60, 1500)
@@ -92,6 +92,58 @@
     assert job.place(task, 'a').run > 2
 
 
+def crash(job, *ages_ms, other_suspects=False):
+    """Crash the endpoint under runs of a job's task, after these ages."""
+    task = job.find(TaskKey('job', 0, 0, 0))
+    for number, age_ms in enumerate(ages_ms):
+        job.place(task, f'guard-{number}', 1000)
+        job.crash(task, 1000 + age_ms, other_suspects=other_suspects)
+
+
+def test_task_that_crashes_its_endpoints_is_given_up():
+    """Guards against a task that crashes one endpoint after the other."""
+    job = job_of(step())
+    crash(job, 1000)
+    assert job.outcome is None
+    assert job.waiting()
+    crash(job, 1100)
+    assert job.outcome.verdict is JobVerdict.FAILED
+
+
+def test_task_beside_another_suspect_is_not_blamed():
+    """Guards against innocent jobs failed for a task beside them.
+
+    Both tasks saw an earlier crash, so either may have caused this one.
+    """
+    job = job_of(step())
+    crash(job, 1000, 1000, other_suspects=True)
+    assert job.outcome is None
+
+
+def test_crash_at_another_point_of_the_work_is_not_blamed():
+    """Guards against long innocent tasks failed for crashes by chance."""
+    job = job_of(step())
+    crash(job, 1000, 3000)
+    assert job.outcome is None
+
+
+def test_task_is_not_started_after_three_crashes():
+    """Guards against a task started without limit whatever excuses it."""
+    job = job_of(step())
+    crash(job, 1000, 3000, 5000, other_suspects=True)
+    assert job.outcome.verdict is JobVerdict.FAILED
+
+
+def test_lost_runs_are_not_crashes():
+    """Guards against a job failed because its guards were cut off or frozen."""
+    job = job_of(step())
+    for number in range(5):
+        task = job.waiting()[0]
+        job.place(task, f'guard-{number}')
+        job.retry(task)
+    assert job.outcome is None
+
+
 def test_guards_with_counts_placed_tasks_only():
     """Guards against a wrong count for the step's limit per endpoint.
 
--- a/tests/policy/test_run_policies.py
+++ b/tests/policy/test_run_policies.py
@@ -205,3 +205,14 @@
     for _ in range(30):
         share.observe('poison', failed=True)
     assert int(share.share * 10) < 2
+
+
+def test_suspect_shares_its_endpoint_with_few():
+    """Guards against many runs lost with an endpoint that a task crashes.
+
+    The empty endpoint is slower, but still meets the goal.
+    """
+    found = [candidate('busy', room=4000), candidate('empty', slowness=1.6)]
+    assert choose(found, estimate_ms=100, budget_ms=400) == 'busy'
+    chosen = choose(found, estimate_ms=100, budget_ms=400, is_suspect=True)
+    assert chosen == 'empty'
