Refuse what waits at an endpoint whose capacity has shrunk

Seen by callers: nothing yet; the rule that a capacity may shrink and grow is new. A task that waited at such an endpoint would have waited there until other runs had ended, or until its deadline if it no longer fitted at all.

Cause: the guard's admission follows the newest report, but it stopped at the first waiting run that did not fit, and left it waiting.

Change: waiting runs whose demand exceeds the capacity, and all of them while the runs at work exceed it, are refused, so that their entries place them elsewhere. Starts and the room sent to entries follow the newest report, as before; an older report that arrives late is ignored.

Tests that failed before: test_waiting_runs_leave_an_endpoint_that_shrinks_below_its_use and test_run_that_no_longer_fits_at_all_is_refused. Two more passed already and keep what holds: test_nothing_starts_over_a_shrunk_capacity, test_capacity_that_grows_again_is_used_at_once.

--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -88,21 +88,24 @@
     def admit(self) -> None:
         """Start waiting runs by rank until one does not fit.
 
-        If the endpoint does not accept runs, all waiting ones are refused.
+        If the endpoint does not accept runs, all waiting ones are refused, and
+        otherwise those for which its capacity has shrunk too far.
         """
-        waiting = self._table.waiting()
         if not self._endpoint.accepting:
-            for refused in waiting:
+            for refused in self._table.waiting():
                 self.end(
                     refused,
                     RunOutcome.REFUSED,
                     'endpoint does not accept runs',
                 )
             return
+        capacity = self._endpoint.status.capacity
+        for unfit in self._table.unfit(capacity):
+            self.end(unfit, RunOutcome.REFUSED, 'capacity has shrunk')
         if self._clock.now_ms() < self._no_room_until_ms:
             return
-        room = self._endpoint.status.capacity.minus(self._table.occupied())
-        for run in waiting:
+        room = capacity.minus(self._table.occupied())
+        for run in self._table.waiting():
             if not run.demand.fits(room):
                 return
             room = room.minus(run.demand)
--- a/src/borageward/runs/table.py
+++ b/src/borageward/runs/table.py
@@ -100,6 +100,19 @@
         waiting = [run for run in self if run.state is RunState.WAITING]
         return sorted(waiting, key=_rank)
 
+    def unfit(self, capacity: Demand) -> list[Run]:
+        """Return the waiting runs for which a capacity is too small.
+
+        While the runs at work exceed the capacity, these are all waiting ones:
+        there is no room before several runs have ended.
+        """
+        has_shrunk = not self.occupied().fits(capacity)
+        return [
+            run
+            for run in self.waiting()
+            if has_shrunk or not run.demand.fits(capacity)
+        ]
+
     def occupied(self) -> Demand:
         """Return the capacity of all runs that may be active."""
         return _total(run for run in self if run.occupies_endpoint)
--- a/tests/runs/test_guard_runs.py
+++ b/tests/runs/test_guard_runs.py
@@ -6,7 +6,7 @@
 from trio.testing import wait_all_tasks_blocked
 
 from borageward.clock import SystemClock
-from borageward.messages.runs import OpenSession
+from borageward.messages.runs import Demand, OpenSession
 from tests.runs.guardharness import Guard, ref, running_guard
 
 
@@ -558,3 +558,73 @@
         nursery.start_soon(reopened.run)
         await reopened.open(attempt=1)
         assert reopened.state.last_order == 0
+
+
+async def test_nothing_starts_over_a_shrunk_capacity(autojump_clock):
+    """Guards against an overloaded endpoint whose capacity has shrunk.
+
+    Two of its four cores are left. Runs that fit these wait until the first
+    ones have ended, and a stopped run counts until it is gone.
+    """
+    async with running_guard(work_ms=300) as (guard, endpoint, entry, _):
+        await entry.start(0, 1)
+        await trio.sleep(0.1)
+        smaller = endpoint.status(capacity=Demand(2000, 2000), sequence=2)
+        guard.monitor.report(smaller)
+        await entry.start(2, 3)
+        await trio.sleep(0.1)
+        assert entry.state.capacity == Demand(2000, 2000)
+        assert len(endpoint.starts) == 2
+        await trio.sleep(0.2)
+        assert len(endpoint.starts) == 4
+
+
+async def test_waiting_runs_leave_an_endpoint_that_shrinks_below_its_use(
+    autojump_clock,
+):
+    """Guards against tasks that wait for capacity that will not be free soon.
+
+    Four runs are at work on an endpoint that has one core left. The fifth one
+    must go elsewhere, and nothing starts before three of the four have ended.
+    """
+    async with running_guard(work_ms=400) as (guard, endpoint, entry, _):
+        await entry.start(0, 1, 2, 3, 4)
+        await trio.sleep(0.1)
+        smaller = endpoint.status(capacity=Demand(1000, 1000), sequence=2)
+        guard.monitor.report(smaller)
+        await trio.sleep(0.1)
+        assert entry.outcomes() == {(4, 1): 'refused'}
+        assert entry.state.room == Demand(-3000, -3000)
+        await trio.sleep(0.3)
+        await entry.start(4, 5, run=2)
+        await trio.sleep(0.1)
+        assert len(endpoint.starts) == 5
+
+
+async def test_run_that_no_longer_fits_at_all_is_refused(autojump_clock):
+    """Guards against a task that waits for its whole deadline at an endpoint.
+
+    The capacity that is left is smaller than the task needs.
+    """
+    async with running_guard(work_ms=200) as (guard, endpoint, entry, _):
+        smaller = endpoint.status(capacity=Demand(500, 4000), sequence=2)
+        guard.monitor.report(smaller)
+        await entry.start(0)
+        await trio.sleep(0.1)
+        assert entry.outcomes() == {(0, 1): 'refused'}
+
+
+async def test_capacity_that_grows_again_is_used_at_once(autojump_clock):
+    """Guards against room left unused after an endpoint has grown again."""
+    async with running_guard(work_ms=400) as (guard, endpoint, entry, _):
+        smaller = endpoint.status(capacity=Demand(1000, 1000), sequence=2)
+        guard.monitor.report(smaller)
+        await entry.start(0, 1, 2)
+        await trio.sleep(0.1)
+        assert len(endpoint.starts) == 1
+        guard.monitor.report(endpoint.status(sequence=3))
+        # A report from before arrives late and must not count.
+        guard.monitor.report(smaller)
+        await trio.sleep(0.1)
+        assert len(endpoint.starts) == 3
+        assert entry.state.capacity == Demand(4000, 4000)
