Log the endpoints and their free room with a refused job

Seen by operators: job_shed gave the predicted wait and the cores, but not whether any endpoint was left or had room.

Change: job_shed has endpoints, those that accept runs, and room, their free CPU in millicores, summed.

--- a/src/borageward/dispatch/dispatcher.py
+++ b/src/borageward/dispatch/dispatcher.py
@@ -181,7 +181,7 @@
                 continue
             if self._is_excess(job, backlog):
                 if not self._place(waiting, candidates, accepts_late=True):
-                    self._refuse(job, backlog)
+                    self._refuse(job, backlog, candidates)
             else:
                 ahead_cpu_ms[pool] += _cpu_ms(job, waiting.task)
 
@@ -212,12 +212,20 @@
             return False
         return should_refuse(job.goal, job.chain_ms, backlog, now_ms)
 
-    def _refuse(self, job: Job, backlog: Backlog) -> None:
+    def _refuse(
+        self,
+        job: Job,
+        backlog: Backlog,
+        candidates: Candidates,
+    ) -> None:
+        endpoints = candidates.of_pool(job.request.queue.pool)
         self._log.event(
             'job_shed',
             job=job.request.job_id,
             wait_ms=round(backlog.wait_ms),
             cores=round(backlog.cores),
+            endpoints=len(endpoints),
+            room=sum(max(0, item.room.cpu_milli) for item in endpoints),
             waited_ms=round(self._clock.now_ms() - job.goal.arrived_ms),
         )
         retry_ms = retry_after_ms(backlog)
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -229,8 +229,9 @@
             'job, reason', 'A job request was refused; `reason` says why.'
         ),
         'job_shed': _info(
-            'job, wait_ms, cores, waited_ms',
-            'A job was refused because it would have to wait too long.',
+            'job, wait_ms, cores, endpoints, room, waited_ms',
+            'A job was refused because it would have to wait too long; `room` '
+            'is the free CPU of the `endpoints` that accept runs.',
         ),
         'job_cancelled': _info('job', 'A caller cancelled a job.'),
         'job_ended': _info(
