Count a crash only for runs that were at work for certain

Cause: the second endpoint crashed while the start of the task was on its way; the guard reported the run as crashed although it had never begun. A silent endpoint was also taken for a crashed one, but may be cut off or frozen.

Change: a run counts as crashed when its start was confirmed, and its endpoint has started again or refuses connections. All others end as lost.

--- a/src/borageward/messages/runs.py
+++ b/src/borageward/messages/runs.py
@@ -77,7 +77,7 @@
     FAILED = 'failed'
     # The run no longer executes, and no failure of the task was reported.
     LOST = 'lost'
-    # The endpoint crashed or vanished while the run may have been at work.
+    # The endpoint crashed while the run was at work.
     CRASHED = 'crashed'
     # The run never started.
     REFUSED = 'refused'
--- a/src/borageward/runs/endpoint.py
+++ b/src/borageward/runs/endpoint.py
@@ -52,6 +52,8 @@
         # Number of the last run end that was handled.
         self.seen_end = 0
         self.has_left = False
+        # The endpoint has refused a connection since its last answer.
+        self.refuses = False
         # The guard itself is shutting down.
         self.draining = False
 
@@ -115,6 +117,7 @@
     def record_answer(self) -> bool:
         """Record an answer; return whether the endpoint was unreachable."""
         regained = not self._reachable
+        self.refuses = False
         self._last_answer_ms = self._clock.now_ms()
         self._reachable = True
         return regained
@@ -125,6 +128,7 @@
         ``refused`` says that no connection could be opened. Returns whether
         the endpoint has become unreachable with this call.
         """
+        self.refuses = self.refuses or refused
         unanswered_ms = self._clock.now_ms() - self._last_answer_ms
         is_silent = refused or unanswered_ms > _UNREACHABLE_AFTER_MS
         lost = self._reachable and is_silent
--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -122,12 +122,18 @@
             self._spawn(self._stop, run)
 
     def end_expired(self) -> None:
-        """Report all started runs as crashed once their leases have expired."""
+        """Report the end of all started runs once their leases have expired.
+
+        An endpoint that is silent may be cut off or frozen; only one that
+        refuses connections has crashed.
+        """
         if not self._endpoint.leases_expired():
             return
         for run in self._table:
             if run.occupies_endpoint:
-                outcome = crash_outcome(run)
+                outcome = RunOutcome.LOST
+                if self._endpoint.refuses:
+                    outcome = crash_outcome(run)
                 run.state = RunState.STOPPING
                 self.end(
                     run,
@@ -351,10 +357,10 @@
 
 
 def crash_outcome(run: Run) -> RunOutcome:
-    """Return the outcome of a run whose endpoint has crashed or vanished.
+    """Return the outcome of a run whose endpoint has crashed.
 
-    A run that waits or is being stopped cannot have caused it.
+    Only a run whose start was confirmed is known to have been at work.
     """
-    if run.state in {RunState.WAITING, RunState.STOPPING}:
-        return RunOutcome.LOST
-    return RunOutcome.CRASHED
+    if run.state is RunState.RUNNING:
+        return RunOutcome.CRASHED
+    return RunOutcome.LOST
