Contain a queue whose tasks crash endpoints

Cause: each deadly job takes an endpoint down for 3.2 s at least once. With 3.5 such jobs a second, all 11 endpoints were down most of the time. The entries saw that rightly: job_shed came with room=0. No view was wrong and no threshold.

Change: a queue of which two tasks were given up within 6 s, most of its pool's, is kept to a third of the endpoints, the same at all entries, and the other queues to the rest, while these have jobs. Backlog and cores count by part.

Tests that failed before: test_queue_with_deadly_tasks_leaves_endpoints_to_others, and tests/policy/test_containment.py, which is new.

--- a/src/borageward/dispatch/dispatcher.py
+++ b/src/borageward/dispatch/dispatcher.py
@@ -13,6 +13,7 @@
 from borageward.dispatch.job import Job, JobTask, TaskState
 from borageward.dispatch.request import JobOutcome, JobVerdict
 from borageward.messages.runs import RunOutcome, RunRef, StartRuns
+from borageward.policy.containment import CrashContainment
 from borageward.policy.run_admission import (
     Backlog,
     retry_after_ms,
@@ -60,6 +61,7 @@
         self._clock = clock
         self._log = log
         self._jobs: dict[str, Job] = {}
+        self._containment = CrashContainment(clock)
         self._started_ms = clock.now_ms()
         self._wake = trio.Event()
         # Whether the last placement round left tasks without an endpoint.
@@ -134,6 +136,9 @@
         )
         others = suspects > int(task.is_suspect)
         job.crash(task, now_ms, other_suspects=others)
+        if job.outcome is not None and not others:
+            queue = job.request.queue
+            self._containment.report_culprit(queue.pool, queue.name)
         self._log.event(
             'task_crashed',
             job=job.request.job_id,
@@ -144,13 +149,25 @@
             suspects=suspects,
         )
 
+    def _contained_queues(self) -> dict[str, str]:
+        """Return the contained queue of each pool that also has other work."""
+        if not self._containment.has_culprits:
+            return {}
+        contained: dict[str, str] = {}
+        queues = {job.request.queue for job in self._jobs.values()}
+        for queue in queues:
+            name = self._containment.contained_queue(queue.pool)
+            if name and name != queue.name:
+                contained[queue.pool] = name
+        return contained
+
     def _dispatch(self) -> None:
         """Place the tasks that fit and refuse jobs that would wait too long."""
         waiting_tasks = self._waiting_by_slack()
         self._has_unplaced = False
         if not waiting_tasks:
             return
-        candidates = Candidates(self._fleet)
+        candidates = Candidates(self._fleet, self._contained_queues())
         unplaced: list[_WaitingTask] = []
         for waiting in waiting_tasks:
             if len(unplaced) > _LOOKAHEAD_TASKS:
@@ -171,19 +188,22 @@
         Before a job is refused, its task is offered to the endpoints that would
         end it after its goal.
         """
-        ahead_cpu_ms: dict[str, float] = collections.defaultdict(float)
+        ahead_cpu_ms: dict[tuple[str, bool], float] = collections.defaultdict(
+            float,
+        )
         for waiting in unplaced:
             self._report_shortage(waiting)
             job = waiting.job
-            pool = job.request.queue.pool
-            backlog = Backlog(ahead_cpu_ms[pool], candidates.cores(pool))
+            queue = job.request.queue
+            key = (queue.pool, candidates.is_contained(queue))
+            backlog = Backlog(ahead_cpu_ms[key], candidates.cores(queue))
             if job.outcome is not None:
                 continue
             if self._is_excess(job, backlog):
                 if not self._place(waiting, candidates, accepts_late=True):
                     self._refuse(job, backlog, candidates)
             else:
-                ahead_cpu_ms[pool] += _cpu_ms(job, waiting.task)
+                ahead_cpu_ms[key] += _cpu_ms(job, waiting.task)
 
     def _report_shortage(self, waiting: _WaitingTask) -> None:
         request = waiting.job.request
@@ -218,7 +238,7 @@
         backlog: Backlog,
         candidates: Candidates,
     ) -> None:
-        endpoints = candidates.of_pool(job.request.queue.pool)
+        endpoints = candidates.of_queue(job.request.queue)
         self._log.event(
             'job_shed',
             job=job.request.job_id,
@@ -259,7 +279,7 @@
                 accepts_late=accepts_late,
                 suspects=self._suspects() if task.is_suspect else None,
             ),
-            candidates.of_pool(job.request.queue.pool),
+            candidates.of_queue(job.request.queue),
         )
         if chosen is None:
             return False
