--- a/src/borageward/dispatch/dispatcher.py
+++ b/src/borageward/dispatch/dispatcher.py
@@ -14,6 +14,7 @@
 from borageward.dispatch.job import Job, JobTask, TaskState
 from borageward.dispatch.request import JobOutcome, JobVerdict
 from borageward.messages.runs import RunOutcome, RunRef, StartRuns
+from borageward.policy.containment import CrashContainment
 from borageward.policy.run_admission import (
     Backlog,
     retry_after_ms,
@@ -62,6 +63,7 @@
         self._log = log
         self._jobs: dict[str, Job] = {}
         self._ending = EndingRuns()
+        self._containment = CrashContainment(clock)
         self._started_ms = clock.now_ms()
         self._wake = trio.Event()
         # Whether the last placement round left tasks without an endpoint.
@@ -127,7 +129,10 @@
         if task.state is not TaskState.PLACED:
             return
         self._log_end(guard, ref, outcome, detail)
-        _apply_outcome(job, task, outcome)
+        if outcome is RunOutcome.CRASHED:
+            self._handle_crash(job, task)
+        else:
+            _apply_outcome(job, task, outcome)
         if self._has_unplaced or job.waiting():
             self.wake()
 
@@ -138,13 +143,46 @@
             self._wake = trio.Event()
             self._dispatch()
 
+    def _handle_crash(self, job: Job, task: JobTask) -> None:
+        now_ms = self._clock.now_ms()
+        suspects = sum(
+            item.suspects_at(task.guard, now_ms) for item in self._jobs.values()
+        )
+        others = suspects > int(task.is_suspect)
+        had_ended = job.outcome is not None
+        job.crash(task, now_ms, other_suspects=others)
+        if job.outcome is not None and not had_ended and not others:
+            queue = job.request.queue
+            self._containment.report_culprit(queue.pool, queue.name)
+        self._log.event(
+            'task_crashed',
+            job=job.request.job_id,
+            task=task.key.index,
+            guard=task.guard,
+            crashes=len(task.crash_ages_ms),
+            age_ms=round(task.crash_ages_ms[-1]),
+            suspects=suspects,
+        )
+
+    def _contained_queues(self) -> dict[str, str]:
+        """Return the contained queue of each pool that also has other work."""
+        if not self._containment.has_culprits:
+            return {}
+        contained: dict[str, str] = {}
+        queues = {job.request.queue for job in self._jobs.values()}
+        for queue in queues:
+            name = self._containment.contained_queue(queue.pool)
+            if name and name != queue.name:
+                contained[queue.pool] = name
+        return contained
+
     def _dispatch(self) -> None:
         """Place the tasks that fit and refuse jobs that would wait too long."""
         waiting_tasks = self._waiting_by_slack()
         self._has_unplaced = False
         if not waiting_tasks:
             return
-        candidates = Candidates(self._fleet)
+        candidates = Candidates(self._fleet, self._contained_queues())
         unplaced: list[_WaitingTask] = []
         for waiting in waiting_tasks:
             if len(unplaced) > _LOOKAHEAD_TASKS:
@@ -165,19 +203,22 @@
         Before a job is refused, its task is offered to the endpoints that would
         end it after its goal.
         """
-        ahead_cpu_ms: dict[str, float] = collections.defaultdict(float)
+        ahead_cpu_ms: dict[tuple[str, bool], float] = collections.defaultdict(
+            float,
+        )
         for waiting in unplaced:
             self._report_shortage(waiting)
             job = waiting.job
-            pool = job.request.queue.pool
-            backlog = Backlog(ahead_cpu_ms[pool], candidates.cores(pool))
+            queue = job.request.queue
+            key = (queue.pool, candidates.is_contained(queue))
+            backlog = Backlog(ahead_cpu_ms[key], candidates.cores(queue))
             if job.outcome is not None:
                 continue
             if self._is_excess(job, backlog):
                 if not self._place(waiting, candidates, accepts_late=True):
-                    self._refuse(job, backlog)
+                    self._refuse(job, backlog, candidates)
             else:
-                ahead_cpu_ms[pool] += _cpu_ms(job, waiting.task)
+                ahead_cpu_ms[key] += _cpu_ms(job, waiting.task)
 
     def _report_shortage(self, waiting: _WaitingTask) -> None:
         request = waiting.job.request
@@ -210,17 +251,34 @@
             return False
         return should_refuse(job.goal, job.chain_ms, backlog, now_ms)
 
-    def _refuse(self, job: Job, backlog: Backlog) -> None:
+    def _refuse(
+        self,
+        job: Job,
+        backlog: Backlog,
+        candidates: Candidates,
+    ) -> None:
+        endpoints = candidates.of_queue(job.request.queue)
         self._log.event(
             'job_shed',
             job=job.request.job_id,
             wait_ms=round(backlog.wait_ms),
             cores=round(backlog.cores),
+            endpoints=len(endpoints),
+            room=sum(max(0, item.room.cpu_milli) for item in endpoints),
             waited_ms=round(self._clock.now_ms() - job.goal.arrived_ms),
         )
         retry_ms = retry_after_ms(backlog)
         job.end(JobOutcome(JobVerdict.REFUSED, 'overloaded', retry_ms))
 
+    def _suspects(self) -> set[str]:
+        """Return the guards that run suspects."""
+        return {
+            task.guard
+            for job in self._jobs.values()
+            for task in job.placed()
+            if task.is_suspect
+        }
+
     def _place(
         self,
         waiting: _WaitingTask,
@@ -238,13 +296,14 @@
                 task,
                 now_ms,
                 accepts_late=accepts_late,
+                suspects=self._suspects() if task.is_suspect else None,
             ),
-            candidates.of_pool(job.request.queue.pool),
+            candidates.of_queue(job.request.queue),
         )
         if chosen is None:
             return False
         chosen.reserve(step.demand)
-        ref = job.place(task, chosen.name)
+        ref = job.place(task, chosen.name, now_ms)
         order = StartRuns(
             order=0,
             job_id=job.request.job_id,
--- a/src/borageward/runs/endpoint.py
+++ b/src/borageward/runs/endpoint.py
@@ -10,8 +10,9 @@
 # Factor on elapsed time and lease durations: the endpoint's clock may be 2%
 # slow, and the estimate of it must not run ahead.
 _CLOCK_MARGIN = 0.97
-# A failed call makes the endpoint unreachable only if it has not answered any
-# call for this time. A single lost reply does not.
+# A call without a reply makes the endpoint unreachable only if it has not
+# answered any call for this time, because a single reply may be lost. A refused
+# connection makes it unreachable at once.
 _UNREACHABLE_AFTER_MS = 500.0
 # Leases are extended only while the last answer is more recent than this. A
 # busy endpoint is polled every 250 ms.
@@ -65,6 +66,8 @@
         # Number of the last run end that was handled.
         self.seen_end = 0
         self.has_left = False
+        # The endpoint has refused a connection since its last answer.
+        self.refuses = False
         # The guard itself is shutting down.
         self.draining = False
 
@@ -101,6 +104,8 @@
     @property
     def answered_recently(self) -> bool:
         """Return whether the last answer allows leases to be extended."""
+        if not self._reachable:
+            return False
         return self._clock.now_ms() - self._last_answer_ms < _RECENT_ANSWER_MS
 
     @property
@@ -141,6 +146,7 @@
     def record_answer(self) -> bool:
         """Record an answer; return whether the endpoint was unreachable."""
         regained = not self._reachable
+        self.refuses = False
         self._last_answer_ms = self._clock.now_ms()
         self._reachable = True
         return regained
@@ -154,13 +160,16 @@
         if self._reachable:
             self._last_answer_ms = self._clock.now_ms()
 
-    def record_failed_call(self) -> bool:
+    def record_failed_call(self, *, refused: bool = False) -> bool:
         """Record a failed call.
 
-        Returns whether the endpoint has become unreachable with this call.
+        ``refused`` says that no connection could be opened. Returns whether
+        the endpoint has become unreachable with this call.
         """
+        self.refuses = self.refuses or refused
         unanswered_ms = self._clock.now_ms() - self._last_answer_ms
-        lost = self._reachable and unanswered_ms > _UNREACHABLE_AFTER_MS
+        is_silent = refused or unanswered_ms > _UNREACHABLE_AFTER_MS
+        lost = self._reachable and is_silent
         if lost:
             self._reachable = False
         return lost
--- a/src/borageward/runs/incarnations.py
+++ b/src/borageward/runs/incarnations.py
@@ -31,8 +31,9 @@
     """Processes the status reports of the endpoint and supervises its runs.
 
     A new incarnation does not continue the runs of the former one, so these
-    are reported as lost. If it has the same id, it may have carried out starts
-    that were meant for the former one; the runs of these are kept and stopped.
+    are reported as crashed, or as lost if the former one had left. If it has
+    the same id, it may have carried out starts that were meant for the former
+    one; the runs of these are kept and stopped.
     """
 
     def __init__(
--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -111,23 +111,28 @@
     def admit(self) -> None:
         """Start waiting runs by rank until one does not fit.
 
-        If the endpoint does not accept runs, all waiting ones are refused.
+        If the endpoint does not accept runs, all waiting ones are refused, and
+        otherwise those for which its capacity has shrunk too far. While a stop
+        without a confirmation limits the lease, the others go on waiting.
         """
-        waiting = self._table.waiting()
-        if not accepts_starts(
-            self._endpoint, self._table, self._clock.now_ms()
-        ):
-            for refused in waiting:
+        if not self._endpoint.accepting:
+            for refused in self._table.waiting():
                 self.end(
                     refused,
                     RunOutcome.REFUSED,
                     'endpoint does not accept runs',
                 )
             return
-        if self._clock.now_ms() < self._no_room_until_ms:
+        capacity = self._endpoint.status.capacity
+        for unfit in self._table.unfit(capacity):
+            self.end(unfit, RunOutcome.REFUSED, 'capacity has shrunk')
+        now_ms = self._clock.now_ms()
+        if now_ms < self._no_room_until_ms:
+            return
+        if not accepts_starts(self._endpoint, self._table, now_ms):
             return
-        room = self._endpoint.status.capacity.minus(self._table.occupied())
-        for run in waiting:
+        room = capacity.minus(self._table.occupied())
+        for run in self._table.waiting():
             if not run.demand.fits(room):
                 return
             room = room.minus(run.demand)
@@ -153,20 +158,27 @@
             self._spawn(self._stop, run)
 
     def end_expired(self) -> None:
-        """Report all started runs as lost once their leases have expired."""
+        """Report the end of all started runs once their leases have expired.
+
+        An endpoint that is silent may be cut off or frozen; only one that
+        refuses connections has crashed.
+        """
         if not self._endpoint.leases_expired():
             return
         for run in self._table:
             if run.occupies_endpoint:
+                outcome = RunOutcome.LOST
+                if self._endpoint.refuses:
+                    outcome = crash_outcome(run)
                 run.state = RunState.STOPPING
                 self.end(
                     run,
-                    RunOutcome.LOST,
+                    outcome,
                     'endpoint silent until its leases expired',
                 )
 
     def end_incarnation(self, detail: str, *, same_id: bool) -> None:
-        """Report the runs as lost because the incarnation has ended.
+        """Report the ends of the runs because the incarnation has ended.
 
         If the next incarnation has the same id, runs that it may have started
         are kept for its supervisor. That stops them and ends them by lists
@@ -178,7 +190,9 @@
                 run.stop_confirmed = False
                 run.confirmed_ms = self._clock.now_ms()
             else:
-                self.end(run, RunOutcome.LOST, detail)
+                left = self._endpoint.has_left
+                outcome = RunOutcome.LOST if left else crash_outcome(run)
+                self.end(run, outcome, detail)
 
     def observe(
         self,
@@ -240,9 +254,14 @@
             await self._poll_now()
             return
         # A refusal is also returned when the endpoint could not be connected
-        # to, so it does not count as an answer.
-        if reply is not StartReply.REFUSED:
+        # to. The poll finds that out, so that the entry learns with the end of
+        # the run whether the endpoint takes other work.
+        if reply is StartReply.REFUSED:
+            await self._poll_now()
+        else:
             self._endpoint.record_start_reply()
+        if run.state is not RunState.STARTING:
+            return
         if reply is StartReply.STARTED:
             self._mark_running(run)
         elif reply is StartReply.NO_ROOM:
@@ -376,3 +395,13 @@
                 )
                 self._failures.observe(run.ref.task.job_id, failed=True)
                 self.stop(run)
+
+
+def crash_outcome(run: Run) -> RunOutcome:
+    """Return the outcome of a run whose endpoint has crashed.
+
+    Only a run whose start was confirmed is known to have been at work.
+    """
+    if run.state is RunState.RUNNING:
+        return RunOutcome.CRASHED
+    return RunOutcome.LOST
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -233,8 +233,9 @@
             'job, reason', 'A job request was refused; `reason` says why.'
         ),
         'job_shed': _info(
-            'job, wait_ms, cores, waited_ms',
-            'A job was refused because it would have to wait too long.',
+            'job, wait_ms, cores, endpoints, room, waited_ms',
+            'A job was refused because it would have to wait too long; `room` '
+            'is the free CPU of the `endpoints` that accept runs.',
         ),
         'job_cancelled': _info('job', 'A caller cancelled a job.'),
         'job_ended': _info(
@@ -249,6 +250,11 @@
             'job, task, run, guard, outcome, detail',
             'A run ended with an outcome other than `done`.',
         ),
+        'task_crashed': _info(
+            'job, task, guard, crashes, age_ms, suspects',
+            'An endpoint crashed under a run; `crashes` counts those of the '
+            'task, `suspects` the tasks there with an earlier one.',
+        ),
         'guard_found': _info(
             'guard, resumed, runs',
             'A session with the guard was opened or resumed.',
