--- a/src/borageward/dispatch/dispatcher.py
+++ b/src/borageward/dispatch/dispatcher.py
@@ -149,9 +149,8 @@
             item.suspects_at(task.guard, now_ms) for item in self._jobs.values()
         )
         others = suspects > int(task.is_suspect)
-        had_ended = job.outcome is not None
         job.crash(task, now_ms, other_suspects=others)
-        if job.outcome is not None and not had_ended and not others:
+        if job.outcome is not None and not others:
             queue = job.request.queue
             self._containment.report_culprit(queue.pool, queue.name)
         self._log.event(
