Revert "Contain a queue whose tasks crash endpoints"

This reverts.

Cause: the gain of the containment is not proved. Change: queues are placed on all endpoints again.

--- a/src/borageward/dispatch/candidates.py
+++ b/src/borageward/dispatch/candidates.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection
 
 import attrs
 
@@ -11,10 +11,8 @@
 from borageward.dispatch.guardlink import GuardLink
 from borageward.dispatch.job import Job, JobTask
 from borageward.messages.runs import EndpointState
-from borageward.policy.containment import containing_guards
 from borageward.policy.run_admission import share_of_cores
 from borageward.policy.run_placement import Candidate, PlacementNeed
-from borageward.queues import Queue
 
 _MILLICORES_PER_CORE = 1000
 
@@ -37,39 +35,25 @@
 class Candidates:
     """Endpoints that accept work, by pool.
 
-    In a pool with a contained queue, part of the endpoints is for this queue
-    and the rest for the others. The room of a candidate is reduced by the
-    caller as it places tasks.
+    The room of a candidate is reduced by the caller as it places tasks.
     """
 
-    def __init__(
-        self,
-        fleet: Fleet,
-        contained: Mapping[str, str] | None = None,
-    ) -> None:
-        """Collect the endpoints from the newest states of a fleet's guards.
-
-        ``contained`` names the contained queue of each pool that has one.
-        """
-        self._by_pool: dict[tuple[str, bool], list[Candidate]] = {}
-        self._usage: dict[tuple[str, bool], _Usage] = {}
-        self._contained = contained or {}
-        self._containing = frozenset[str]()
-        if self._contained:
-            names = (link.name for link in fleet.links())
-            self._containing = containing_guards(names)
+    def __init__(self, fleet: Fleet) -> None:
+        """Collect the endpoints from the newest states of a fleet's guards."""
+        self._by_pool: dict[str, list[Candidate]] = {}
+        self._usage: dict[str, _Usage] = {}
         for link in fleet.links():
             state = link.state
             if state is not None and state.accepting and link.is_answering:
                 self._add(link, state)
 
-    def of_queue(self, queue: Queue) -> list[Candidate]:
-        """Return the endpoints that accept work of a queue."""
-        return self._by_pool.get(self._key(queue), [])
+    def of_pool(self, pool: str) -> list[Candidate]:
+        """Return the endpoints of a pool that accept work."""
+        return self._by_pool.get(pool, [])
 
-    def cores(self, queue: Queue) -> float:
-        """Return this entry's estimated share of the cores for a queue."""
-        usage = self._usage.get(self._key(queue))
+    def cores(self, pool: str) -> float:
+        """Return the estimated share of a pool's cores for this entry."""
+        usage = self._usage.get(pool)
         if usage is None:
             return 0
         return share_of_cores(
@@ -79,19 +63,10 @@
             usage.sessions,
         )
 
-    def is_contained(self, queue: Queue) -> bool:
-        """Return whether a queue is kept to a part of its pool."""
-        return self._contained.get(queue.pool) == queue.name
-
-    def _key(self, queue: Queue) -> tuple[str, bool]:
-        return (queue.pool, self.is_contained(queue))
-
     def _add(self, link: GuardLink, state: EndpointState) -> None:
         candidate = _candidate(link, state)
-        contains = state.pool in self._contained
-        key = (state.pool, contains and link.name in self._containing)
-        self._by_pool.setdefault(key, []).append(candidate)
-        usage = self._usage.setdefault(key, _Usage())
+        self._by_pool.setdefault(state.pool, []).append(candidate)
+        usage = self._usage.setdefault(state.pool, _Usage())
         usage.cores += (
             state.capacity.cpu_milli / _MILLICORES_PER_CORE / state.slowness
         )
--- a/src/borageward/dispatch/dispatcher.py
+++ b/src/borageward/dispatch/dispatcher.py
@@ -14,7 +14,6 @@
 from borageward.dispatch.job import Job, JobTask, TaskState
 from borageward.dispatch.request import JobOutcome, JobVerdict
 from borageward.messages.runs import RunOutcome, RunRef, StartRuns
-from borageward.policy.containment import CrashContainment
 from borageward.policy.run_admission import (
     Backlog,
     retry_after_ms,
@@ -63,7 +62,6 @@
         self._log = log
         self._jobs: dict[str, Job] = {}
         self._ending = EndingRuns()
-        self._containment = CrashContainment(clock)
         self._started_ms = clock.now_ms()
         self._wake = trio.Event()
         # Whether the last placement round left tasks without an endpoint.
@@ -150,9 +148,6 @@
         )
         others = suspects > int(task.is_suspect)
         job.crash(task, now_ms, other_suspects=others)
-        if job.outcome is not None and not others:
-            queue = job.request.queue
-            self._containment.report_culprit(queue.pool, queue.name)
         self._log.event(
             'task_crashed',
             job=job.request.job_id,
@@ -163,25 +158,13 @@
             suspects=suspects,
         )
 
-    def _contained_queues(self) -> dict[str, str]:
-        """Return the contained queue of each pool that also has other work."""
-        if not self._containment.has_culprits:
-            return {}
-        contained: dict[str, str] = {}
-        queues = {job.request.queue for job in self._jobs.values()}
-        for queue in queues:
-            name = self._containment.contained_queue(queue.pool)
-            if name and name != queue.name:
-                contained[queue.pool] = name
-        return contained
-
     def _dispatch(self) -> None:
         """Place the tasks that fit and refuse jobs that would wait too long."""
         waiting_tasks = self._waiting_by_slack()
         self._has_unplaced = False
         if not waiting_tasks:
             return
-        candidates = Candidates(self._fleet, self._contained_queues())
+        candidates = Candidates(self._fleet)
         unplaced: list[_WaitingTask] = []
         for waiting in waiting_tasks:
             if len(unplaced) > _LOOKAHEAD_TASKS:
@@ -202,22 +185,19 @@
         Before a job is refused, its task is offered to the endpoints that would
         end it after its goal.
         """
-        ahead_cpu_ms: dict[tuple[str, bool], float] = collections.defaultdict(
-            float,
-        )
+        ahead_cpu_ms: dict[str, float] = collections.defaultdict(float)
         for waiting in unplaced:
             self._report_shortage(waiting)
             job = waiting.job
-            queue = job.request.queue
-            key = (queue.pool, candidates.is_contained(queue))
-            backlog = Backlog(ahead_cpu_ms[key], candidates.cores(queue))
+            pool = job.request.queue.pool
+            backlog = Backlog(ahead_cpu_ms[pool], candidates.cores(pool))
             if job.outcome is not None:
                 continue
             if self._is_excess(job, backlog):
                 if not self._place(waiting, candidates, accepts_late=True):
                     self._refuse(job, backlog, candidates)
             else:
-                ahead_cpu_ms[key] += _cpu_ms(job, waiting.task)
+                ahead_cpu_ms[pool] += _cpu_ms(job, waiting.task)
 
     def _report_shortage(self, waiting: _WaitingTask) -> None:
         request = waiting.job.request
@@ -256,7 +236,7 @@
         backlog: Backlog,
         candidates: Candidates,
     ) -> None:
-        endpoints = candidates.of_queue(job.request.queue)
+        endpoints = candidates.of_pool(job.request.queue.pool)
         self._log.event(
             'job_shed',
             job=job.request.job_id,
@@ -297,7 +277,7 @@
                 accepts_late=accepts_late,
                 suspects=self._suspects() if task.is_suspect else None,
             ),
-            candidates.of_queue(job.request.queue),
+            candidates.of_pool(job.request.queue.pool),
         )
         if chosen is None:
             return False
