--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -147,7 +147,7 @@
     assert isinstance(decode_report('i-1', body), str)
 
 
-class FarewellRecorder:
+class LeavingRecorder:
     """Run service that records which endpoint has left."""
 
     def __init__(self):
@@ -166,13 +166,13 @@
         (b'{"born":"17"}', 0),
     ],
 )
-async def test_farewell_names_the_incarnation_that_left(body, born_ms):
-    """Guards against a delayed farewell that ends a later incarnation.
+async def test_leaving_message_names_the_incarnation_that_left(body, born_ms):
+    """Guards against a delayed message that ends a later incarnation.
 
-    The body may name the start time of the endpoint; without it, the farewell
+    The body may name the start time of the endpoint; without it, the message
     applies to any incarnation with the id.
     """
-    runs = FarewellRecorder()
+    runs = LeavingRecorder()
     server = ReportServer(runs, EventLog())
     request = HttpRequest('DELETE', '/v1/instances/i-1', {}, body)
     assert (await server.answer(request)).status == 200
--- a/tests/runs/test_endpoint_restarts.py
+++ b/tests/runs/test_endpoint_restarts.py
@@ -17,7 +17,7 @@
             await trio.sleep(0.001)
 
 
-async def test_reborn_endpoint_with_same_id_does_not_run_a_task_twice(
+async def test_restarted_endpoint_with_same_id_does_not_run_a_task_twice(
     autojump_clock,
 ):
     """Guards against a run that is reported as lost while it is active.
@@ -36,7 +36,7 @@
         assert not endpoint.running
 
 
-async def test_unanswered_stop_in_a_reborn_endpoint_delays_the_end(
+async def test_unanswered_stop_in_a_restarted_endpoint_delays_the_end(
     autojump_clock,
 ):
     """Guards against a run that is lost before its stop was answered.
@@ -57,7 +57,7 @@
         assert not endpoint.running
 
 
-async def test_reborn_silent_endpoint_may_still_run_a_task(autojump_clock):
+async def test_restarted_silent_endpoint_may_still_run_a_task(autojump_clock):
     """Guards against a lost run while the new incarnation may work on it.
 
     The new incarnation carries out the start, reports itself and answers no
@@ -93,7 +93,7 @@
         assert entry.outcomes() == {(0, 1): 'crashed'}
 
 
-async def test_lists_of_a_reborn_endpoint_do_not_make_it_accept_runs(
+async def test_lists_of_a_restarted_endpoint_do_not_make_it_accept_runs(
     autojump_clock,
 ):
     """Guards against starts at an endpoint whose new incarnation is unknown.
@@ -116,7 +116,7 @@
         assert entry.state.accepting
 
 
-async def test_reborn_endpoint_that_has_seen_the_old_fence_is_usable(
+async def test_restarted_endpoint_that_has_seen_the_old_fence_is_usable(
     autojump_clock,
 ):
     """Guards against a fence that is lower than that of a former incarnation.
@@ -162,7 +162,7 @@
         assert not endpoint.running
 
 
-async def test_delayed_farewell_of_a_former_incarnation_is_ignored(
+async def test_delayed_leaving_message_of_a_former_incarnation_is_ignored(
     autojump_clock,
 ):
     """Guards against runs that are lost because an earlier incarnation left.
