--- a/review/1/play.py
+++ b/review/1/play.py
@@ -80,4 +80,4 @@
     return operator.old_reads > 0
 
 
-sys.exit(main(CASE, play, controls=6, entries=1, runners=0))
+sys.exit(main(CASE / 'record.txt', play, controls=6, entries=1, runners=0))
--- a/review/3/play.py
+++ b/review/3/play.py
@@ -100,4 +100,4 @@
     return bool(found)
 
 
-sys.exit(main(CASE, play))
+sys.exit(main(CASE / 'record.txt', play))
--- a/review/harness.py
+++ b/review/harness.py
@@ -43,8 +43,8 @@
 class Record:
     """Writes what was sent, answered and run to record.txt."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        self._file = (folder / 'record.txt').open('w')
+    def __init__(self, path: pathlib.Path) -> None:
+        self._file = path.open('w')
         self._start = time.monotonic()
 
     def now(self) -> float:
@@ -500,12 +500,12 @@
 
     def __init__(
         self,
-        case: pathlib.Path,
+        record_path: pathlib.Path,
         entries: int = 2,
         runners: int = 2,
         controls: int = 3,
     ) -> None:
-        self.record = Record(case)
+        self.record = Record(record_path)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self._net = f'127.{random.randint(2, 250)}.{random.randint(1, 250)}'
         self._ports = _free_ports(self._net, 6)
@@ -723,14 +723,14 @@
 
 
 def main(
-    case: pathlib.Path,
+    record_path: pathlib.Path,
     play: Callable[[Deployment], Awaitable[bool]],
     **sizes: int,
 ) -> int:
     """Play a case; return 1 if the rule was broken, 0 if not, 2 if not run."""
 
     async def run() -> int:
-        deployment = Deployment(case, **sizes)
+        deployment = Deployment(record_path, **sizes)
         try:
             async with asyncio.timeout(100):
                 broken = await play(deployment)
