--- a/review/3/play.py
+++ b/review/3/play.py
@@ -20,7 +20,6 @@
 LINGER_S = 0.5
 # The runner's channels are cut this long before it says that it leaves.
 CUT_BEFORE_S = 0.2
-CUT_S = 2.0
 NO_ACK_S = 3.0
 # Two runs overlap if they are seen together for longer than this, which is
 # far above the jitter of the stand-ins.
