Separate the replica of a control process from its TCP server

Change: ReplicaSupervisor runs one replica after the other on a disk, and ReplicaNetwork opens its connections; ClusterService keeps the server and the list of guards. A replica answers requests to join itself. No change of behaviour.

--- a/src/borageward/control/cluster/joining.py
+++ b/src/borageward/control/cluster/joining.py
@@ -6,7 +6,7 @@
 
 from borageward.clock import Clock
 from borageward.control.cluster.options import ClusterOptions
-from borageward.discovery import ReplicaCalls
+from borageward.discovery import ReplicaCaller
 from borageward.control.consensus import Node
 from borageward.failures import Failure, FailureReason
 from borageward.messages.discovery import Joined, JoinCluster
@@ -31,7 +31,7 @@
         options: ClusterOptions,
         node: Node,
         voter_id: str,
-        calls: ReplicaCalls,
+        calls: ReplicaCaller,
         clock: Clock,
         log: EventLog,
     ) -> None:
--- a/src/borageward/control/cluster/replica.py
+++ b/src/borageward/control/cluster/replica.py
@@ -10,15 +10,15 @@
 from borageward.control.cluster.identity import ReplicaIdentity
 from borageward.control.cluster.joining import Membership
 from borageward.control.cluster.manifeststore import ManifestStore
+from borageward.control.cluster.network import ReplicaNetwork
 from borageward.control.cluster.options import ClusterOptions
-from borageward.discovery import ReplicaCalls
 from borageward.control.cluster.repair import VoterRepair
 from borageward.control.consensus import Node, NodeOptions
 from borageward.control.storage import Disk
-from borageward.failures import Failure
-from borageward.messages.consensus import ConsensusReply, Replica
+from borageward.failures import Failure, FailureReason
+from borageward.messages.discovery import JoinCluster, Joined
 from borageward.telemetry import EventLog
-from borageward.transport import FramePeer, Peer, parse_address
+from borageward.transport import parse_peer_address
 
 # Only the newest manifest is ever read, so a short log before each snapshot is
 # enough.
@@ -37,21 +37,25 @@
         disk: Disk,
         clock: Clock,
         log: EventLog,
-        nursery: trio.Nursery,
+        network: ReplicaNetwork,
+        source: random.Random,
     ) -> None:
-        """Create a replica whose links to others run in the nursery."""
-        self._nursery = nursery
+        """Create a replica that reaches the others over a network.
+
+        ``source`` gives the random election timeouts.
+        """
+        self._network = network
+        self._source = source
         self._node = Node(
             self._node_options(options, identity, clock, log),
             disk,
         )
-        self._calls = ReplicaCalls(nursery)
-        self._manifests = ManifestStore(self._node, self._calls, log)
+        self._manifests = ManifestStore(self._node, network.calls, log)
         self._membership = Membership(
             options,
             self._node,
             identity.voter_id,
-            self._calls,
+            network.calls,
             clock,
             log,
         )
@@ -67,11 +71,6 @@
         """Return the access to the manifest through this replica."""
         return self._manifests
 
-    @property
-    def repair(self) -> VoterRepair:
-        """Return the repair that adds and replaces replicas."""
-        return self._repair
-
     async def run(self) -> None:
         """Take part in the cluster until the id is retired.
 
@@ -84,9 +83,29 @@
             await self._membership.wait_until_retired()
             nursery.cancel_scope.cancel()
 
+    async def add_replica(self, request: JoinCluster) -> Joined | Failure:
+        """Add a replica as a learner, or report that its id was retired.
+
+        Returns ``NOT_LEADER``, with the address of the leader as its detail,
+        or ``NO_QUORUM`` unless this replica leads, and another failure when
+        the change cannot be committed.
+        """
+        invalid = _find_invalid(request.operator_address, request.address)
+        if invalid is not None:
+            return invalid
+        if self._node.leader_term:
+            return await self._repair.add_replica(request)
+        leader = self._node.leader
+        if leader is None:
+            return Failure(
+                FailureReason.NO_QUORUM,
+                'no leader is known to this control replica',
+            )
+        return Failure(FailureReason.NOT_LEADER, leader.member_address)
+
     async def close(self) -> None:
         """Close the links to other replicas."""
-        await self._calls.close()
+        await self._network.close()
         await self._node.close()
 
     def _node_options(
@@ -106,14 +125,21 @@
             clock_skew_ms=_CLOCK_SKEW_MS,
             snapshot_entries=_SNAPSHOT_ENTRIES,
             clock=clock,
-            source=random.Random(),
+            source=self._source,
             log=log,
-            open_peer=self._open_peer,
+            open_peer=self._network.open_peer,
             disk_bound_ids=True,
         )
 
-    def _open_peer(self, replica: Replica) -> Peer:
-        address = parse_address(replica.member_address)
+
+def _find_invalid(*addresses: str) -> Failure | None:
+    """Return the failure of the first address that is not one of a process.
+
+    A committed replica with such an address would end every replica that opens
+    a link to it, also after a restart.
+    """
+    for text in addresses:
+        address = parse_peer_address(text)
         if isinstance(address, Failure):
-            raise ValueError(address.detail)
-        return FramePeer(address, ConsensusReply, self._nursery)
+            return address
+    return None
--- a/src/borageward/control/cluster/service.py
+++ b/src/borageward/control/cluster/service.py
@@ -8,11 +8,12 @@
 import trio
 
 from borageward.clock import Clock
-from borageward.control.cluster.identity import choose_identity, erase
+from borageward.control.cluster.network import FrameNetwork
 from borageward.control.cluster.options import ClusterOptions
 from borageward.control.cluster.registry import GuardRegistry
 from borageward.control.cluster.replica import ClusterReplica
-from borageward.control.storage import Disk, StorageError
+from borageward.control.cluster.supervisor import ReplicaSupervisor
+from borageward.control.storage import Disk
 from borageward.failures import Failure, FailureReason
 from borageward.messages.base import Rejected
 from borageward.messages.consensus import ConsensusReply, ConsensusRequest
@@ -22,7 +23,6 @@
     ClusterView,
     DiscoveryRequest,
     FetchView,
-    JoinCluster,
     Joined,
 )
 from borageward.messages.queues import (
@@ -36,7 +36,6 @@
     Address,
     FrameRpcServer,
     parse_address,
-    parse_peer_address,
 )
 
 _ClusterRequest: TypeAlias = (
@@ -50,8 +49,7 @@
 class ClusterService:
     """Serves other replicas, guards and entries over frames.
 
-    Operators' calls arrive through ``publish`` and ``newest``. A replica whose
-    id was retired erases its disk and joins under a new id.
+    Operators' calls arrive through ``publish`` and ``newest``.
     """
 
     def __init__(
@@ -65,12 +63,15 @@
 
         Raises ``ValueError`` for an invalid address in the options.
         """
-        self._options = options
-        self._disk = disk
-        self._clock = clock
-        self._log = log
         self._registry = GuardRegistry(clock, log, random.Random())
-        self._replica: ClusterReplica | None = None
+        self._supervisor = ReplicaSupervisor(
+            options,
+            disk,
+            clock,
+            log,
+            FrameNetwork,
+            random.Random(),
+        )
         self._server = FrameRpcServer(
             _address(options.address),
             self._serve,
@@ -81,7 +82,7 @@
     @property
     def leader_address(self) -> str:
         """Return the operators' address of the leader, or an empty text."""
-        replica = self._replica
+        replica = self._supervisor.replica
         leader = None if replica is None else replica.node.leader
         return '' if leader is None else leader.address
 
@@ -109,7 +110,7 @@
         A version that is not above the stored one changes nothing. After the
         failures ``TIMEOUT`` and ``NO_QUORUM`` the manifest may still be stored.
         """
-        replica = self._replica
+        replica = self._supervisor.replica
         if replica is None:
             return _starting_failure()
         return await replica.manifests.publish(manifest, timeout_ms)
@@ -119,42 +120,17 @@
 
         Returns a failure when no majority confirms the leader in time.
         """
-        replica = self._replica
+        replica = self._supervisor.replica
         if replica is None:
             return _starting_failure()
         return await replica.manifests.newest(timeout_ms)
 
     async def _run(self) -> None:
         with self._scope:
-            while True:
-                await self._run_replica()
-                failure = await erase(self._disk)
-                if failure is not None:
-                    raise StorageError(failure)
-
-    async def _run_replica(self) -> None:
-        identity = await choose_identity(self._options, self._disk)
-        if isinstance(identity, Failure):
-            raise StorageError(identity)
-        async with trio.open_nursery() as nursery:
-            replica = ClusterReplica(
-                self._options,
-                identity,
-                self._disk,
-                self._clock,
-                self._log,
-                nursery,
-            )
-            await replica.node.open()
-            self._log.event('replica_opened', replica=identity.voter_id)
-            self._replica = replica
-            await replica.run()
-            self._replica = None
-            await replica.close()
-            nursery.cancel_scope.cancel()
+            await self._supervisor.run()
 
     async def _serve(self, request: _ClusterRequest) -> _ClusterReply:
-        replica = self._replica
+        replica = self._supervisor.replica
         if replica is None:
             return Rejected.of(_starting_failure())
         if isinstance(request, FetchView):
@@ -166,7 +142,8 @@
             return Rejected.of(reply) if isinstance(reply, Failure) else reply
         if isinstance(request, ConsensusRequest):
             return await replica.node.serve(request)
-        return await self._handle_join(replica, request)
+        joined = await replica.add_replica(request)
+        return Rejected.of(joined) if isinstance(joined, Failure) else joined
 
     def _announce(
         self,
@@ -178,25 +155,6 @@
             return Rejected(FailureReason.INVALID_REQUEST, problem)
         return Announced(_replica_addresses(replica))
 
-    async def _handle_join(
-        self,
-        replica: ClusterReplica,
-        request: JoinCluster,
-    ) -> _ClusterReply:
-        invalid = _find_invalid(request.operator_address, request.address)
-        if invalid is not None:
-            return Rejected.of(invalid)
-        if replica.node.leader_term:
-            reply = await replica.repair.add_replica(request)
-            return Rejected.of(reply) if isinstance(reply, Failure) else reply
-        leader = replica.node.leader
-        if leader is None:
-            return Rejected(
-                FailureReason.NO_QUORUM,
-                'no leader is known to this control replica',
-            )
-        return Rejected(FailureReason.NOT_LEADER, leader.member_address)
-
     def _cluster_view(
         self,
         replica: ClusterReplica,
@@ -220,19 +178,6 @@
     return tuple(member.member_address for member in replicas)
 
 
-def _find_invalid(*addresses: str) -> Failure | None:
-    """Return the failure of the first address that is not one of a process.
-
-    A committed replica with such an address would end every replica that opens
-    a link to it, also after a restart.
-    """
-    for text in addresses:
-        address = parse_peer_address(text)
-        if isinstance(address, Failure):
-            return address
-    return None
-
-
 def _starting_failure() -> Failure:
     return Failure(
         FailureReason.NO_QUORUM,
