Never give an erased disk the id of an initial voter again

Cause: a removed voter erased its disk, file by file and the identity first, and then looked to choose_identity like a replica on its first start, because first_start is read once at the start of the process. With an empty log, the initial voter set and its old vote lost, two such replicas were a majority. A replica killed during the erasure ended at each start, or came back the same way. A request that was already waiting at the old replica could also write to the disk after it had been erased. Change: the new random id replaces the identity before the first file is removed, and a flag in it lets a restarted process finish the erasure. A replica rejects every request, and no vote of it counts, before its disk is erased.

--- a/src/borageward/control/cluster/identity.py
+++ b/src/borageward/control/cluster/identity.py
@@ -41,29 +41,43 @@
     The id of an initial voter is its address, because the other initial
     voters have to know it. Any other empty disk may replace a lost one, so it
     gets a random id that no disk had before. Returns a failure when the
-    identity cannot be read.
+    identity cannot be read or the files of a former id cannot be removed.
     """
-    identity = await ReplicaFiles(disk).read_identity()
+    files = ReplicaFiles(disk)
+    identity = await files.read_identity()
     if isinstance(identity, Failure):
         return identity
-    if isinstance(identity, Identity):
-        return ReplicaIdentity(identity.voter_id, identity.initial)
+    if identity is None:
+        return _first_identity(options)
+    if identity.erasing:
+        failure = await files.finish_replacement(identity)
+        if failure is not None:
+            return failure
+    return ReplicaIdentity(identity.voter_id, identity.initial)
+
+
+async def renew_identity(
+    options: ClusterOptions,
+    disk: Disk,
+) -> Failure | None:
+    """Erase the disk of a replica whose id was retired, and give it a new id.
+
+    An erased disk is not an empty one: its former id may have voted and
+    acknowledged entries, so it never becomes an initial voter again.
+    """
+    identity = Identity.create(_random_id(options), learner=True)
+    return await ReplicaFiles(disk).replace_identity(identity)
+
+
+def _first_identity(options: ClusterOptions) -> ReplicaIdentity:
     if options.first_start and options.address in options.seed_addresses:
         return ReplicaIdentity(options.address, _initial_replicas(options))
-    suffix = secrets.token_hex(_ID_SUFFIX_BYTES)
-    return ReplicaIdentity(f'{options.address}#{suffix}', ())
+    return ReplicaIdentity(_random_id(options), ())
 
 
-async def erase(disk: Disk) -> Failure | None:
-    """Remove all files from the disk of a replica whose id was retired."""
-    names = await disk.names()
-    if isinstance(names, Failure):
-        return names
-    for name in names:
-        failure = await disk.remove(name)
-        if failure is not None:
-            return failure
-    return None
+def _random_id(options: ClusterOptions) -> str:
+    suffix = secrets.token_hex(_ID_SUFFIX_BYTES)
+    return f'{options.address}#{suffix}'
 
 
 def _initial_replicas(options: ClusterOptions) -> tuple[Replica, ...]:
--- a/src/borageward/control/cluster/supervisor.py
+++ b/src/borageward/control/cluster/supervisor.py
@@ -7,7 +7,10 @@
 import trio
 
 from borageward.clock import Clock
-from borageward.control.cluster.identity import choose_identity, erase
+from borageward.control.cluster.identity import (
+    choose_identity,
+    renew_identity,
+)
 from borageward.control.cluster.network import NetworkFactory
 from borageward.control.cluster.options import ClusterOptions
 from borageward.control.cluster.replica import ClusterReplica
@@ -50,7 +53,7 @@
         """
         while True:
             await self._run_replica()
-            failure = await erase(self._disk)
+            failure = await renew_identity(self._options, self._disk)
             if failure is not None:
                 raise StorageError(failure)
 
--- a/src/borageward/control/consensus/context.py
+++ b/src/borageward/control/consensus/context.py
@@ -55,6 +55,7 @@
         )
         self._failure: Failure | None = None
         self._failed = trio.Event()
+        self._closed = False
         # Held while a request or an election changes the term or the log.
         self.lock = trio.Lock()
         self.role = Role.FOLLOWER
@@ -103,12 +104,19 @@
         """Return whether the disk failed; requests are then rejected."""
         return self._failure is not None
 
+    @property
+    def closed(self) -> bool:
+        """Return whether this replica has ended; requests are rejected."""
+        return self._closed
+
     def may_vote(self) -> bool:
         """Return whether this replica is a voter that may use its vote.
 
         A voter id is tied to one storage id, so that a replica whose disk was
         replaced cannot vote twice in a term.
         """
+        if self._closed:
+            return False
         own = find_replica(
             self._log.replicas.replicas,
             self._options.voter_id,
@@ -178,6 +186,11 @@
         self._failed.set()
         return failure
 
+    async def close(self) -> None:
+        """Reject further requests, once the current one has been served."""
+        async with self.lock:
+            self._closed = True
+
     async def wait_for_failure(self) -> Failure:
         """Wait until the disk fails and return the failure."""
         while self._failure is None:
--- a/src/borageward/control/consensus/handlers.py
+++ b/src/borageward/control/consensus/handlers.py
@@ -24,6 +24,9 @@
 )
 
 
+_CLOSED = 'this replica has left the cluster'
+
+
 class RequestHandler:
     """Serves votes, appends, snapshots and introductions.
 
@@ -47,6 +50,8 @@
         if isinstance(request, RequestVote) and request.pre_vote:
             return VoteReply(self._context.term, self._would_grant(request))
         async with self._context.lock:
+            if self._context.closed:
+                return Rejected(FailureReason.NO_QUORUM, _CLOSED)
             reply = await self._serve(request)
         if self._context.failed:
             reply = storage_failed('the disk of this replica failed')
--- a/src/borageward/control/consensus/leadership.py
+++ b/src/borageward/control/consensus/leadership.py
@@ -58,7 +58,9 @@
     @property
     def is_active(self) -> bool:
         """Return whether this replica still leads in this term."""
-        if self._context.failed or self._context.term != self.term:
+        if self._context.failed or self._context.closed:
+            return False
+        if self._context.term != self.term:
             return False
         return self._context.role is Role.LEADER
 
--- a/src/borageward/control/consensus/node.py
+++ b/src/borageward/control/consensus/node.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import secrets
 from typing import TypeVar
 
+import msgspec
 import trio
 
 from borageward.clock import Milliseconds
@@ -47,8 +47,6 @@
     RemoveVoter,
 )
 
-_STORAGE_ID_BYTES = 16
-
 StoredT = TypeVar('StoredT')
 
 
@@ -137,7 +135,11 @@
         raise StorageError(failure)
 
     async def close(self) -> None:
-        """Close the links to the other replicas."""
+        """Reject all further requests and close the links.
+
+        Returns once no request uses the disk any more.
+        """
+        await self._context.close()
         await self._links.close()
 
     async def serve(self, request: ConsensusRequest) -> ConsensusReply:
@@ -262,13 +264,13 @@
             raise _storage_error(
                 'the identity file is missing on a disk with other files'
             )
-        identity = Identity(
-            self._options.voter_id,
-            secrets.token_bytes(_STORAGE_ID_BYTES),
-            self._options.join_as_learner,
+        identity = msgspec.structs.replace(
+            Identity.create(
+                self._options.voter_id,
+                learner=self._options.join_as_learner,
+                initial=self._options.initial,
+            ),
             admitted=self._options.disk_bound_ids,
-            known={},
-            initial=self._options.initial,
         )
         _result_or_raise(await self._files.write_identity(identity))
         return identity
--- a/src/borageward/control/storage/documents.py
+++ b/src/borageward/control/storage/documents.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import secrets
 from typing import Any, TypeVar
 
 import msgspec
@@ -18,6 +19,7 @@
 _IDENTITY = 'identity'
 _VOTE = 'vote'
 _SNAPSHOT = 'snapshot'
+_STORAGE_ID_BYTES = 16
 
 DocumentT = TypeVar('DocumentT')
 
@@ -30,6 +32,7 @@
     voter has recorded this disk as the first one used with the voter id.
     ``known`` maps the ids of the other initial voters to the storage ids of
     their disks. ``initial`` lists the replicas that the cluster started with.
+    ``erasing`` is set until the files of the former voter id are removed.
     """
 
     voter_id: str
@@ -38,6 +41,26 @@
     admitted: bool
     known: dict[str, bytes]
     initial: tuple[Replica, ...] = ()
+    erasing: bool = False
+
+    @classmethod
+    def create(
+        cls,
+        voter_id: str,
+        *,
+        learner: bool,
+        initial: tuple[Replica, ...] = (),
+    ) -> Identity:
+        """Return the identity of a disk that is new to the cluster."""
+        storage_id = secrets.token_bytes(_STORAGE_ID_BYTES)
+        return cls(
+            voter_id,
+            storage_id,
+            learner,
+            admitted=False,
+            known={},
+            initial=initial,
+        )
 
 
 class Vote(msgspec.Struct, frozen=True, array_like=True):
@@ -84,6 +107,30 @@
         """Return the identity, or ``None`` on an empty disk."""
         return await self._read(_IDENTITY, Identity)
 
+    async def replace_identity(self, identity: Identity) -> Failure | None:
+        """Store a new identity and remove the files of the previous one.
+
+        The new identity is stored before the first file is removed, so that
+        the disk never holds the previous voter id without its votes and log.
+        After a failure or a crash, call ``finish_replacement``.
+        """
+        erasing = msgspec.structs.replace(identity, erasing=True)
+        failure = await self.write_identity(erasing)
+        return failure or await self.finish_replacement(erasing)
+
+    async def finish_replacement(self, identity: Identity) -> Failure | None:
+        """Remove the files that an identity being replaced has left."""
+        names = await self._disk.names()
+        if isinstance(names, Failure):
+            return names
+        for name in names:
+            if name != _IDENTITY:
+                failure = await self._disk.remove(name)
+                if failure is not None:
+                    return failure
+        erased = msgspec.structs.replace(identity, erasing=False)
+        return await self.write_identity(erased)
+
     async def write_identity(self, identity: Identity) -> Failure | None:
         """Store the identity in place of the previous one."""
         return await self._write(_IDENTITY, identity)
--- a/tests/control/fakes.py
+++ b/tests/control/fakes.py
@@ -126,8 +126,10 @@
         self._medium.files[name] = self._medium.files[name][:length]
 
     async def remove(self, name):
-        if not self._crashed:
+        failure = await self._sync()
+        if failure is None:
             self._medium.files.pop(name, None)
+        return failure
 
     async def _sync(self) -> Failure | None:
         await trio.sleep(BASE_SYNC_MS * self._random.uniform(0.5, 2) / 1000)
--- /dev/null
+++ b/tests/control/test_retired_replicas.py
@@ -0,0 +1,94 @@
+"""Replicas whose id was retired or whose disk was erased."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+from trio.testing import MockClock
+
+from tests.control.clusterfakes import Operator, ReplicaCluster
+
+FREEZE_S = 4
+CALM_S = 8
+CATCH_UP_S = 4
+
+
+def run(scenario, *, seed, count=6):
+    """Run a scenario in virtual time; no reply may be an old manifest."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            cluster = ReplicaCluster(nursery, count=count, seed=seed)
+            operator = Operator(cluster)
+            await operator.publish_until_acknowledged()
+            await trio.sleep(CATCH_UP_S)
+            await scenario(cluster, operator)
+            await operator.publish_until_acknowledged()
+            await operator.read()
+            assert not operator.old_reads
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+async def freeze(process):
+    process.gate.freeze()
+    await trio.sleep(FREEZE_S)
+    process.gate.thaw()
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_retired_initial_voters_form_no_second_cluster(seed):
+    """Guards against two leaders that both acknowledge manifests.
+
+    Each initial voter freezes and is replaced by a spare. It erases its disk,
+    and must not take its initial id and vote again.
+    """
+
+    async def scenario(cluster, operator):
+        for number in range(3):
+            await freeze(cluster[number])
+            await trio.sleep(CALM_S)
+            await operator.publish_until_acknowledged()
+            await operator.read()
+        for first in (0, 3, 1, 4, 2, 5):
+            await operator.publish(first)
+            await trio.sleep(2)
+            await operator.read()
+            assert len(cluster.leaders()) == 1
+
+    run(scenario, seed=seed)
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_replica_killed_while_it_erases_its_disk_joins_again(seed):
+    """Guards against an initial id on a disk that was partly erased.
+
+    Each initial voter is replaced, and killed while it erases its disk. It
+    restarts with the settings of the first start, and must join as a learner.
+    """
+
+    async def scenario(cluster, operator):
+        for number in range(3):
+            process = cluster[number]
+            await freeze(process)
+            await wait_erasing(process)
+            await trio.sleep(cluster.network.random.uniform(0, 0.03))
+            process.kill()
+            await trio.sleep(0.5)
+            process.start()
+            await trio.sleep(CALM_S)
+            await operator.publish_until_acknowledged()
+            await operator.read()
+            assert process.voter_id != process.address
+            assert process.node.leader is not None
+        assert len(cluster.leaders()) == 1
+
+    run(scenario, seed=seed)
+
+
+async def wait_erasing(process):
+    """Wait until a process has closed its replica to erase the disk."""
+    with trio.fail_after(CALM_S):
+        while process.supervisor.replica is not None:
+            await trio.sleep(0.001)
