Let an initial voter vote only once the others have recorded its disk

An operator could read a state without an acknowledged manifest: a lost disk that restarts with the settings of the first start voted under its former id. Change: they introduce their disks to all other initial voters like any voter. A refused replica takes a new id and joins as a learner instead of ending. A disk that replaces a lost one before the cluster has formed still answers the introductions of the others, which would wait for it otherwise.

--- a/src/borageward/control/cluster/joining.py
+++ b/src/borageward/control/cluster/joining.py
@@ -48,9 +48,14 @@
         )
 
     async def wait_until_retired(self) -> None:
-        """Return once the cluster has retired the id of this replica."""
+        """Return once the id of this replica must not be used any more.
+
+        The cluster has retired it, or another voter knows it with another disk.
+        """
         while True:
             await self._clock.sleep_ms(self._interval_ms())
+            if self._node.is_refused:
+                return
             if self._node.leader is not None and self._is_member():
                 continue
             if await self._request_to_join():
--- a/src/borageward/control/cluster/replica.py
+++ b/src/borageward/control/cluster/replica.py
@@ -128,7 +128,7 @@
             source=self._source,
             log=log,
             open_peer=self._network.open_peer,
-            disk_bound_ids=True,
+            rejoins_if_refused=True,
         )
 
 
--- a/src/borageward/control/consensus/context.py
+++ b/src/borageward/control/consensus/context.py
@@ -17,6 +17,7 @@
     ReplicaFiles,
     Vote,
 )
+from borageward.control.storage.errors import storage_failed
 from borageward.failures import Failure, FailureReason
 from borageward.messages.consensus import Replica
 
@@ -56,6 +57,7 @@
         self._failure: Failure | None = None
         self._failed = trio.Event()
         self._closed = False
+        self._refused = False
         # Held while a request or an election changes the term or the log.
         self.lock = trio.Lock()
         self.role = Role.FOLLOWER
@@ -104,6 +106,11 @@
         """Return whether the disk failed; requests are then rejected."""
         return self._failure is not None
 
+    @property
+    def refused(self) -> bool:
+        """Return whether another voter has refused the disk."""
+        return self._refused
+
     @property
     def closed(self) -> bool:
         """Return whether this replica has ended; requests are rejected."""
@@ -186,6 +193,14 @@
         self._failed.set()
         return failure
 
+    def refuse_disk(self, voter_id: str, detail: str) -> None:
+        """Record that a voter knows the own voter id with another disk."""
+        self._refused = True
+        if self._options.rejoins_if_refused:
+            self._options.log.warning('disk_refused', voter=voter_id)
+        else:
+            self.check_storage_result(storage_failed(detail))
+
     async def close(self) -> None:
         """Reject further requests, once the current one has been served."""
         async with self.lock:
--- a/src/borageward/control/consensus/handlers.py
+++ b/src/borageward/control/consensus/handlers.py
@@ -199,9 +199,11 @@
     ) -> Introduced | Failure:
         replicas = self._log.replicas
         replica = find_replica(replicas.replicas, request.voter_id)
-        if replica is None or request.voter_id in replicas.retired:
+        # A disk without a replica set has replaced that of an initial voter.
+        # It cannot know the first disk of the sender, but the others do.
+        if replica is None and replicas.replicas:
             return Introduced(accepted=False)
-        if replica.storage_id:
+        if replica is not None and replica.storage_id:
             return Introduced(replica.storage_id == request.storage_id)
         known = self._context.identity.known
         storage_id = known.get(request.voter_id)
--- a/src/borageward/control/consensus/introduction.py
+++ b/src/borageward/control/consensus/introduction.py
@@ -12,7 +12,6 @@
 
 from borageward.control.consensus.context import ReplicaContext
 from borageward.control.consensus.links import PeerLinks
-from borageward.control.storage.errors import storage_failed
 from borageward.messages.consensus import Introduce, Introduced
 
 
@@ -29,8 +28,8 @@
         """Return once all other initial voters have accepted the disk.
 
         Returns at once for a learner and for a replica that was admitted
-        before. The replica fails, and this call never returns, when another
-        voter has stored a different storage id for this voter id.
+        before. Never returns when another voter has stored a different storage
+        id for this voter id.
         """
         identity = self._context.identity
         if identity.admitted or identity.learner:
@@ -63,8 +62,9 @@
                 break
             await self._pause()
         if not reply.accepted:
-            self._context.check_storage_result(
-                storage_failed(self._other_disk_detail(voter_id))
+            self._context.refuse_disk(
+                voter_id,
+                self._other_disk_detail(voter_id),
             )
             await trio.sleep_forever()
 
--- a/src/borageward/control/consensus/membership.py
+++ b/src/borageward/control/consensus/membership.py
@@ -63,8 +63,6 @@
 
     def _has_unbound_voter(self) -> bool:
         """Return whether the storage id of a voter is not in the log yet."""
-        if self._options.disk_bound_ids:
-            return False
         replicas = self._log.replicas.replicas
         return any(rep.voter and not rep.storage_id for rep in replicas)
 
--- a/src/borageward/control/consensus/node.py
+++ b/src/borageward/control/consensus/node.py
@@ -4,7 +4,6 @@
 
 from typing import TypeVar
 
-import msgspec
 import trio
 
 from borageward.clock import Milliseconds
@@ -93,6 +92,14 @@
             return 0
         return leadership.term if leadership.is_ready else 0
 
+    @property
+    def is_refused(self) -> bool:
+        """Return whether another voter knows the voter id with another disk.
+
+        The id must then not be used again with this disk.
+        """
+        return self._context.refused
+
     @property
     def leader(self) -> Replica | None:
         """Return the leader of this term, or ``None`` when it is unknown."""
@@ -264,13 +271,10 @@
             raise _storage_error(
                 'the identity file is missing on a disk with other files'
             )
-        identity = msgspec.structs.replace(
-            Identity.create(
-                self._options.voter_id,
-                learner=self._options.join_as_learner,
-                initial=self._options.initial,
-            ),
-            admitted=self._options.disk_bound_ids,
+        identity = Identity.create(
+            self._options.voter_id,
+            learner=self._options.join_as_learner,
+            initial=self._options.initial,
         )
         _result_or_raise(await self._files.write_identity(identity))
         return identity
--- a/src/borageward/control/consensus/options.py
+++ b/src/borageward/control/consensus/options.py
@@ -23,9 +23,10 @@
 
     ``initial`` is the replica set that a new cluster starts with.
     ``source`` gives the random election timeouts. A snapshot is taken after
-    ``snapshot_entries`` applied entries at the earliest. ``disk_bound_ids``
-    means that a voter id is never used with a second disk, so that an initial
-    voter needs no admission by the others.
+    ``snapshot_entries`` applied entries at the earliest. With
+    ``rejoins_if_refused`` a replica whose disk is refused by another initial
+    voter goes on without a vote until its owner gives it a new id; otherwise
+    it fails.
     """
 
     voter_id: str
@@ -40,4 +41,4 @@
     source: random.Random
     log: EventLog
     open_peer: PeerFactory
-    disk_bound_ids: bool = False
+    rejoins_if_refused: bool = False
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -161,6 +161,11 @@
             'replica',
             'A voter answered from another disk; its reply is not counted.',
         ),
+        'disk_refused': _warning(
+            'voter',
+            'Another voter knows the voter id with another disk; the replica '
+            'joins again under a new id.',
+        ),
         # Control replicas that find each other through seeds.
         'replica_opened': _info(
             'replica', 'The replica has read its log from disk.'
--- a/tests/control/test_joining.py
+++ b/tests/control/test_joining.py
@@ -34,6 +34,7 @@
     """Stub of a node that has no log yet."""
 
     leader = None
+    is_refused = False
 
     class log:  # noqa: N801 Stands for an attribute.
         """Stub of the log."""
--- a/tests/control/test_retired_replicas.py
+++ b/tests/control/test_retired_replicas.py
@@ -13,12 +13,17 @@
 CATCH_UP_S = 4
 
 
-def run(scenario, *, seed, count=6):
-    """Run a scenario in virtual time; no reply may be an old manifest."""
+def run(scenario, *, seed, count=6, before=None):
+    """Run a scenario in virtual time; no reply may be an old manifest.
+
+    ``before`` is called when the processes have just started.
+    """
 
     async def main():
         async with trio.open_nursery() as nursery:
             cluster = ReplicaCluster(nursery, count=count, seed=seed)
+            if before is not None:
+                await before(cluster)
             operator = Operator(cluster)
             await operator.publish_until_acknowledged()
             await trio.sleep(CATCH_UP_S)
@@ -87,6 +92,52 @@
     run(scenario, seed=seed)
 
 
+@pytest.mark.parametrize('seed', range(5))
+def test_lost_disk_with_settings_of_first_start_does_not_vote(seed):
+    """Guards against an election won with the vote of a lost disk.
+
+    One follower lacks the newest manifest. The other loses its disk and
+    restarts with the settings of the first start, while the leader is down.
+    """
+
+    async def scenario(cluster, operator):
+        leader = cluster.leaders()[0]
+        behind, lost = [item for item in cluster if item is not leader]
+        cluster.network.isolate(behind.address)
+        await operator.publish_until_acknowledged()
+        lost.wipe()
+        leader.kill()
+        cluster.network.heal()
+        lost.start()
+        await trio.sleep(CALM_S)
+        await operator.read()
+        assert not cluster.leaders()
+        leader.start()
+        await trio.sleep(CALM_S)
+        await operator.read()
+        assert lost.voter_id != lost.address
+        assert lost.voter_id in cluster.voters()
+
+    run(scenario, seed=seed, count=3)
+
+
+@pytest.mark.parametrize('seed', range(8))
+def test_cluster_forms_although_a_disk_is_lost_at_the_first_start(seed):
+    """Guards against voters that wait for a lost disk to admit them."""
+
+    async def scenario(cluster, operator):
+        assert len(cluster.voters()) == 3
+
+    async def lose_disk(cluster):
+        await trio.sleep(cluster.network.random.uniform(0, 0.2))
+        cluster[2].wipe()
+        cluster[2].first_start = False
+        await trio.sleep(0.5)
+        cluster[2].start()
+
+    run(scenario, seed=seed, count=3, before=lose_disk)
+
+
 async def wait_erasing(process):
     """Wait until a process has closed its replica to erase the disk."""
     with trio.fail_after(CALM_S):
