Report a control replica as retired only once its removal is committed

An acknowledged manifest could be lost together with one disk. Cause: the leader told a removed replica that its id was retired as soon as the removal stood in its own log. Change: Node.is_retired also asks that the newest replica set is committed. The removed replica asks again until then. Evidence: test_replica_is_not_retired_before_its_removal_is_committed fails on the parent commit (Joined(retired=True)) and passes now.

--- a/src/borageward/control/cluster/repair.py
+++ b/src/borageward/control/cluster/repair.py
@@ -47,7 +47,7 @@
         Returns a failure when this replica does not lead or cannot commit the
         change.
         """
-        if request.voter_id in self._node.log.replicas.retired:
+        if self._node.is_retired(request.voter_id):
             leadership_failure = await self._node.confirm_leadership()
             return leadership_failure or Joined(retired=True)
         reply = await self._node.change_replicas(
--- a/src/borageward/control/consensus/node.py
+++ b/src/borageward/control/consensus/node.py
@@ -197,6 +197,15 @@
             return False
         return progress.match_index >= self._applier.commit_index
 
+    def is_retired(self, voter_id: str) -> bool:
+        """Return whether the removal of a replica is committed.
+
+        Only then do the remaining voters hold all that the replica has
+        acknowledged, so that its disk may be erased.
+        """
+        is_committed = self._applier.commit_index >= self._log.replicas_index
+        return is_committed and voter_id in self._log.replicas.retired
+
     async def change_replicas(
         self,
         request: AddLearner | PromoteVoter | RemoveVoter,
--- a/tests/control/clusterfakes.py
+++ b/tests/control/clusterfakes.py
@@ -121,6 +121,17 @@
         )
         return receiver
 
+    async def answer(self, request):
+        """Return the reply of the running replica."""
+        replica = self.supervisor.replica
+        if replica is None:
+            return Rejected(FailureReason.NO_QUORUM, 'starting')
+        if isinstance(request, ConsensusRequest):
+            return await replica.node.serve(request)
+        if isinstance(request, JoinCluster):
+            return await replica.add_replica(request)
+        return await replica.manifests.serve(request)
+
     async def _run(self, scope):
         try:
             with scope:
@@ -138,21 +149,11 @@
         await self.gate.wait_open()
         if scope is not self._scope or not self.alive:
             return
-        reply = await self._answer(request)
+        reply = await self.answer(request)
         await self.gate.wait_open()
         if scope is self._scope and self.alive:
             sender.send_nowait(reply)
 
-    async def _answer(self, request):
-        replica = self.supervisor.replica
-        if replica is None:
-            return Rejected(FailureReason.NO_QUORUM, 'starting')
-        if isinstance(request, ConsensusRequest):
-            return await replica.node.serve(request)
-        if isinstance(request, JoinCluster):
-            return await replica.add_replica(request)
-        return await replica.manifests.serve(request)
-
     def _options(self):
         return ClusterOptions(
             self.address,
--- a/tests/control/test_retired_replicas.py
+++ b/tests/control/test_retired_replicas.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 import trio
 from trio.testing import MockClock
 
+from borageward.failures import Failure
+from borageward.messages.consensus import AppendEntries
+from borageward.messages.control import RemoveVoter
+from borageward.messages.discovery import JoinCluster
 from tests.control.clusterfakes import Operator, ReplicaCluster
 
 FREEZE_S = 4
@@ -36,6 +41,12 @@
     trio.run(main, clock=MockClock(autojump_threshold=0))
 
 
+def by_leader(cluster):
+    """Return the processes, the leader first."""
+    leader = cluster.leaders()[0]
+    return [leader, *(item for item in cluster if item is not leader)]
+
+
 async def freeze(process):
     process.gate.freeze()
     await trio.sleep(FREEZE_S)
@@ -101,8 +112,7 @@
     """
 
     async def scenario(cluster, operator):
-        leader = cluster.leaders()[0]
-        behind, lost = [item for item in cluster if item is not leader]
+        leader, behind, lost = by_leader(cluster)
         cluster.network.isolate(behind.address)
         await operator.publish_until_acknowledged()
         lost.wipe()
@@ -138,6 +148,43 @@
     run(scenario, seed=seed, count=3, before=lose_disk)
 
 
+def test_replica_is_not_retired_before_its_removal_is_committed():
+    """Guards against an erased disk whose entries only the leader holds.
+
+    The other voter answers the leader, but stores no entries yet.
+    """
+
+    async def scenario(cluster, operator):
+        leader, removed, slow = by_leader(cluster)
+        removed.gate.freeze()
+
+        answer = slow.answer
+
+        async def drop_entries(request):
+            if isinstance(request, AppendEntries):
+                request = msgspec.structs.replace(request, entries=())
+            return await answer(request)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                leader.node.change_replicas, RemoveVoter(removed.voter_id)
+            )
+            with trio.fail_after(1):
+                while not leader.node.log.replicas.retired:
+                    await trio.sleep(0.0001)
+            nursery.cancel_scope.cancel()
+        slow.answer = drop_entries
+        request = JoinCluster(
+            removed.voter_id, removed.address, removed.address
+        )
+        reply = await leader.supervisor.replica.add_replica(request)
+        assert isinstance(reply, Failure)
+        slow.answer = answer
+        removed.gate.thaw()
+
+    run(scenario, seed=1, count=3)
+
+
 async def wait_erasing(process):
     """Wait until a process has closed its replica to erase the disk."""
     with trio.fail_after(CALM_S):
