Answer consensus requests under the own voter id only

Cause: a replica that has joined under a new id keeps its address. Change: these requests carry the recipient's voter id, as a last field that earlier versions ignore, and a replica rejects those for another id. Evidence: test_replica_answers_for_its_own_id_only fails without the check (the learner takes the higher term and accepts the entries) and passes with it.

--- a/src/borageward/control/consensus/handlers.py
+++ b/src/borageward/control/consensus/handlers.py
@@ -11,6 +11,7 @@
 from borageward.failures import Failure, FailureReason
 from borageward.messages.base import Rejected
 from borageward.messages.consensus import (
+    AddressedRequest,
     AppendEntries,
     AppendReply,
     ConsensusReply,
@@ -24,6 +25,7 @@
 )
 
 
+_OTHER_RECIPIENT = 'the request is for another voter id at this address'
 _CLOSED = 'this replica has left the cluster'
 
 
@@ -45,8 +47,12 @@
         """Return the reply to a request.
 
         Returns ``Rejected`` when a write to the disk fails, when a snapshot
-        cannot be decoded or when this replica is not admitted to the cluster.
+        cannot be decoded, when this replica is not admitted to the cluster and
+        when the request is for another voter id.
         """
+        if isinstance(request, AddressedRequest):
+            if request.recipient not in {'', self._context.options.voter_id}:
+                return Rejected(FailureReason.NO_QUORUM, _OTHER_RECIPIENT)
         if isinstance(request, RequestVote) and request.pre_vote:
             return VoteReply(self._context.term, self._would_grant(request))
         async with self._context.lock:
--- a/src/borageward/control/consensus/links.py
+++ b/src/borageward/control/consensus/links.py
@@ -4,12 +4,15 @@
 
 from typing import Any
 
+import msgspec
+
 from borageward.clock import Milliseconds
 from borageward.control.consensus.options import PeerFactory
 from borageward.control.consensus.log import ReplicatedLog
 from borageward.control.consensus.replicas import find_replica
 from borageward.failures import Failure, FailureReason
 from borageward.messages.base import Rejected
+from borageward.messages.consensus import AddressedRequest
 from borageward.transport import Peer
 
 
@@ -28,7 +31,7 @@
         request: Any,
         timeout_ms: Milliseconds,
     ) -> Any | Failure:
-        """Send a request to a replica and return its reply.
+        """Send a request to a replica, as its recipient; return its reply.
 
         Returns a failure when the replica rejects the request, cannot be
         reached, does not reply within ``timeout_ms`` or is not in the log.
@@ -39,6 +42,8 @@
                 FailureReason.LINK_BROKEN,
                 f'{voter_id} is not in the replica set',
             )
+        if isinstance(request, AddressedRequest):
+            request = msgspec.structs.replace(request, recipient=voter_id)
         reply = await peer.call(request, timeout_ms)
         return reply.failure() if isinstance(reply, Rejected) else reply
 
--- a/src/borageward/messages/consensus.py
+++ b/src/borageward/messages/consensus.py
@@ -100,7 +100,9 @@
 
     With ``pre_vote`` it only asks whether a vote would be granted, and no vote
     is stored. ``last_index`` and ``last_term`` are those of the candidate's
-    last log entry.
+    last log entry. ``recipient`` is the voter id that is asked; a replica under
+    another id, which may have taken over the address, rejects the request. It
+    is empty in requests of earlier versions.
     """
 
     term: int
@@ -108,6 +110,7 @@
     last_index: int
     last_term: int
     pre_vote: bool
+    recipient: str = ''
 
 
 class VoteReply(Message, frozen=True):
@@ -121,7 +124,7 @@
     """Replicate log entries; without entries it is the leader's heartbeat.
 
     ``previous_index`` and ``previous_term`` are those of the log entry before
-    ``entries``.
+    ``entries``. ``recipient`` is that of ``RequestVote``.
     """
 
     term: int
@@ -130,6 +133,7 @@
     previous_term: int
     commit_index: int
     entries: tuple[LogEntry, ...]
+    recipient: str = ''
 
 
 class AppendReply(Message, frozen=True):
@@ -150,7 +154,8 @@
     """One part of the leader's snapshot; parts are sent in order.
 
     ``last_index`` is the index of the last log entry in the snapshot,
-    ``offset`` the position of the part in bytes.
+    ``offset`` the position of the part in bytes. ``recipient`` is that of
+    ``RequestVote``.
     """
 
     term: int
@@ -159,6 +164,7 @@
     offset: int
     part: bytes
     final: bool
+    recipient: str = ''
 
 
 class Introduce(Message, frozen=True):
@@ -178,6 +184,8 @@
     accepted: bool
 
 
+# Requests to one voter id.
+AddressedRequest: TypeAlias = RequestVote | AppendEntries | InstallSnapshot
 ConsensusRequest: TypeAlias = (
     RequestVote | AppendEntries | InstallSnapshot | Introduce
 )
--- a/tests/control/test_retired_replicas.py
+++ b/tests/control/test_retired_replicas.py
@@ -8,7 +8,12 @@
 from trio.testing import MockClock
 
 from borageward.failures import Failure
-from borageward.messages.consensus import AppendEntries
+from borageward.messages.base import Rejected
+from borageward.messages.consensus import (
+    AppendEntries,
+    InstallSnapshot,
+    RequestVote,
+)
 from borageward.messages.control import RemoveVoter
 from borageward.messages.discovery import JoinCluster
 from tests.control.clusterfakes import Operator, ReplicaCluster
@@ -185,6 +190,34 @@
     run(scenario, seed=1, count=3)
 
 
+def test_replica_answers_for_its_own_id_only():
+    """Guards against an answer that counts for a former id of the address.
+
+    A replica that has joined under a new id still gets the requests of a
+    leader or candidate that knows the former one.
+    """
+
+    async def scenario(cluster, operator):
+        lost = by_leader(cluster)[1]
+        lost.wipe()
+        lost.first_start = False
+        lost.start()
+        await trio.sleep(CALM_S)
+        term = lost.node.status().term
+        requests = (
+            RequestVote(term + 1, 'x', 99, term, pre_vote=False),
+            RequestVote(term + 9, 'x', 99, term, pre_vote=True),
+            AppendEntries(term + 1, 'x', 0, 0, 0, ()),
+            InstallSnapshot(term + 1, 'x', 9, 0, b'', final=False),
+        )
+        for request in requests:
+            former = msgspec.structs.replace(request, recipient=lost.address)
+            assert isinstance(await lost.node.serve(former), Rejected)
+        assert lost.node.status().term == term
+
+    run(scenario, seed=1, count=3)
+
+
 async def wait_erasing(process):
     """Wait until a process has closed its replica to erase the disk."""
     with trio.fail_after(CALM_S):
