Let the runs of a leaving endpoint end by its lists or with their lease

Cause: the guard took the DELETE of an endpoint for its end. It reported all runs as lost at once and stopped asking for the lists, although an endpoint without an acknowledgement works on. A late DELETE, which names no start time, did the same to the runs of a later incarnation. Change: the message only ends the intake of new runs. If the endpoint had announced its shutdown by draining, its runs are stopped and lose their authority. They end like all others: when the endpoint lists their end or no longer lists them, or when the last lease has expired. A newer report of an endpoint that is not draining lets it take work again.

--- a/src/borageward/runs/endpoint.py
+++ b/src/borageward/runs/endpoint.py
@@ -65,6 +65,7 @@
         self._reachable = True
         # Number of the last run end that was handled.
         self.seen_end = 0
+        # The endpoint is said to be shutting down.
         self.has_left = False
         # The endpoint has refused a connection since its last answer.
         self.refuses = False
@@ -129,6 +130,9 @@
         """Store a status; return false if it is older than the stored one."""
         if status.sequence < self._status.sequence:
             return False
+        if status.sequence > self._status.sequence and not status.draining:
+            # A late message had said that the endpoint is shutting down.
+            self.has_left = False
         self._status = status
         return True
 
--- a/src/borageward/runs/incarnations.py
+++ b/src/borageward/runs/incarnations.py
@@ -105,18 +105,34 @@
             self._replace_incarnation(supervisor, status)
 
     def report_leaving(self, endpoint_id: str, born_ms: int = 0) -> None:
-        """End the current incarnation because the endpoint is shutting down.
+        """Start no further runs because the endpoint is shutting down.
 
-        The id or the start time of another incarnation is ignored.
+        The endpoint may work on until it has ended, and the message may be
+        that of an earlier incarnation. Its runs therefore end like all others:
+        by its lists or with their lease. They are stopped if it has announced
+        its shutdown by draining. The id or the start time of another
+        incarnation is ignored.
         """
         supervisor = self._supervisor
         if supervisor is None:
             return
-        is_current = supervisor.endpoint.is_incarnation(born_ms)
-        if supervisor.endpoint.status.endpoint_id == endpoint_id and is_current:
-            self._log.event('endpoint_left', endpoint=endpoint_id)
-            supervisor.endpoint.has_left = True
-            self._end_incarnation('endpoint is shutting down')
+        endpoint = supervisor.endpoint
+        if endpoint.status.endpoint_id != endpoint_id:
+            return
+        if not endpoint.is_incarnation(born_ms):
+            return
+        self._log.event(
+            'endpoint_left',
+            endpoint=endpoint_id,
+            draining=endpoint.status.draining,
+            runs=len(self._table),
+        )
+        endpoint.has_left = True
+        supervisor.admit()
+        if endpoint.status.draining:
+            for run in self._table:
+                supervisor.revoke(run, self._clock.now_ms())
+        self._on_change()
 
     def _update(
         self,
@@ -191,6 +207,8 @@
             return
         supervisor.end_expired()
         supervisor.admit()
+        if endpoint.has_left and not self._table.is_busy():
+            self._end_incarnation('endpoint is shutting down')
         self._on_change()
 
     def _handle_restart(self, endpoint: Endpoint, born_ms: int) -> None:
--- a/src/borageward/runs/service.py
+++ b/src/borageward/runs/service.py
@@ -90,7 +90,7 @@
             self._announcer.set_endpoint(status.pool, status.labels)
 
     def report_leaving(self, endpoint_id: str, born_ms: int = 0) -> None:
-        """End the incarnation of an endpoint that is shutting down.
+        """Start no further runs at an endpoint that is shutting down.
 
         ``born_ms`` is its start time, or zero if it did not name it.
         """
--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -168,7 +168,7 @@
         for run in self._table:
             if run.occupies_endpoint:
                 outcome = RunOutcome.LOST
-                if self._endpoint.refuses:
+                if self._endpoint.refuses and not self._endpoint.has_left:
                     outcome = crash_outcome(run)
                 run.state = RunState.STOPPING
                 self.end(
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -287,7 +287,9 @@
             'endpoint', 'The endpoint reported that it takes no new runs.'
         ),
         'endpoint_left': _info(
-            'endpoint', 'The endpoint reported that it is about to end.'
+            'endpoint, draining, runs',
+            'The endpoint reported that it is about to end; its runs end by '
+            'its lists or with their lease.',
         ),
         'endpoint_lost': _warning(
             'reason, detail',
