Judge the runs of a frozen guard by the time when their session lapsed

Cause: a session counted as alive until the guard had handled its expiry. After a freeze, room that became free, a renewal of the lease or a reopened session could come first: a waiting run started, the lease went on, or the session was resumed, although the entry had given the runs up 2,150 ms after its last heartbeat and placed the tasks elsewhere. Change: each run knows its session, whose authority ends 900 ms after the newest echoed stamp. A waiting run whose authority has ended is refused, the lease is limited from that time on, and a lapsed session with runs is expired before an entry opens another one.

--- a/src/borageward/runs/lease.py
+++ b/src/borageward/runs/lease.py
@@ -46,9 +46,11 @@
 
     The lease applies to everything at the endpoint. While the stop of a run
     without authority is not confirmed, it ends ``LEASE_MS`` after that run lost
-    its authority: entries start the task elsewhere after this time.
+    its authority: entries start the task elsewhere after this time. A guard
+    that was frozen notices late that a session has expired, so the time when
+    its authority ended counts.
     """
-    return min(LEASE_MS, table.revoked_since_ms() + LEASE_MS - now_ms)
+    return min(LEASE_MS, table.authority_end_ms() + LEASE_MS - now_ms)
 
 
 class LeaseRenewer:
--- a/src/borageward/runs/sessions.py
+++ b/src/borageward/runs/sessions.py
@@ -78,6 +78,11 @@
     sent_version: int = -1
     unlinked_ms: Milliseconds = -math.inf
 
+    @property
+    def authority_end_ms(self) -> Milliseconds:
+        """Return the time in ms until which runs may start and go on."""
+        return self.echoed_ms + SESSION_TIMEOUT_MS
+
     @property
     def has_unreported(self) -> bool:
         """Return whether run ends remain to be sent on the current link."""
@@ -161,6 +166,19 @@
             if now_ms - item.echoed_ms > _timeout_ms(item, busy)
         ]
 
+    def find_lapsed(self, entry: str, busy: Set[str]) -> Session | None:
+        """Return the session of an entry if it has lapsed, else None.
+
+        After a freeze of this guard the entry may open a session before the
+        expiry of the former one is handled. ``busy`` names the entries that
+        have runs.
+        """
+        session = self._sessions.get(entry)
+        if session is None or entry not in busy:
+            return None
+        has_lapsed = session.authority_end_ms < self._clock.now_ms()
+        return session if has_lapsed else None
+
     def is_unlinked_since(
         self,
         session: Session,
--- a/src/borageward/runs/sessionserver.py
+++ b/src/borageward/runs/sessionserver.py
@@ -154,6 +154,10 @@
         """
         while self._monitor is None or not self._monitor.is_settled:
             await self._clock.sleep_ms(_SETTLE_INTERVAL_MS)
+        busy = self._table.sessions()
+        lapsed = self._sessions.find_lapsed(message.entry, busy)
+        if lapsed is not None:
+            self._expire(lapsed)
         known = self._sessions.find(message.entry)
         if known is not None and message.attempt < known.attempt:
             self._log.event('stale_session_request', entry=message.entry)
@@ -246,6 +250,7 @@
             message.demand,
             message.estimate_ms,
             self._clock.now_ms() + message.slack_ms,
+            session,
         )
         if not self._table.add(run):
             session.add_end(ref, RunOutcome.REFUSED, 'task already has a run')
@@ -279,7 +284,7 @@
         link = session.link
         session.link = None
         self._sessions.remove(session)
-        expiry_ms = session.echoed_ms + SESSION_TIMEOUT_MS
+        expiry_ms = session.authority_end_ms
         self._revoke_runs(session, expiry_ms, 'session_expired')
         return link
 
--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -112,7 +112,9 @@
         """Start waiting runs by rank until one does not fit.
 
         If the endpoint does not accept runs, all waiting ones are refused, and
-        otherwise those for which its capacity has shrunk too far. While a stop
+        otherwise those for which its capacity has shrunk too far or whose
+        session has expired: after a freeze of the guard, runs may be admitted
+        before the expiry of the session is handled. While a stop
         without a confirmation limits the lease, the others go on waiting.
         """
         if not self._endpoint.accepting:
@@ -123,10 +125,12 @@
                     'endpoint does not accept runs',
                 )
             return
+        now_ms = self._clock.now_ms()
         capacity = self._endpoint.status.capacity
         for unfit in self._table.unfit(capacity):
             self.end(unfit, RunOutcome.REFUSED, 'capacity has shrunk')
-        now_ms = self._clock.now_ms()
+        for lapsed in self._table.lapsed(now_ms):
+            self.end(lapsed, RunOutcome.REFUSED, 'session has expired')
         if now_ms < self._no_room_until_ms:
             return
         if not accepts_starts(self._endpoint, self._table, now_ms):
--- a/src/borageward/runs/table.py
+++ b/src/borageward/runs/table.py
@@ -5,6 +5,7 @@
 import enum
 import math
 from collections.abc import Iterator
+from typing import Protocol
 
 import attrs
 
@@ -23,9 +24,17 @@
     STOPPING = 'stopping'
 
 
+class Authority(Protocol):
+    """Interface of what permits runs until a time, such as a session."""
+
+    @property
+    def authority_end_ms(self) -> Milliseconds:
+        """Return the time in ms until which runs may start and go on."""
+
+
 @attrs.define(slots=True, eq=False)
 class Run:
-    """One run on behalf of a session.
+    """One run on behalf of a session, which gives it its authority.
 
     Waiting runs start in ascending ``rank``, the time in milliseconds by which
     the run should start. ``requested_ms`` is when the start was requested or
@@ -34,8 +43,8 @@
     ``void_after_ms`` is on the endpoint's clock: the endpoint refuses a start
     request that arrives later. ``listed`` is set when the current incarnation
     of the endpoint has listed the run as active. ``revoked_ms`` is when the run
-    lost its authority, and ``stop_confirmed`` is set when the endpoint has
-    confirmed its stop.
+    lost its authority before its time, and ``stop_confirmed`` is set when the
+    endpoint has confirmed its stop.
     """
 
     ref: RunRef
@@ -44,6 +53,7 @@
     demand: Demand
     estimate_ms: float
     rank: float
+    authority: Authority
     state: RunState = RunState.WAITING
     requested_ms: Milliseconds = 0
     void_after_ms: Milliseconds = 0
@@ -55,6 +65,11 @@
     revoked_ms: Milliseconds = math.inf
     stop_confirmed: bool = False
 
+    @property
+    def authority_end_ms(self) -> Milliseconds:
+        """Return when the authority of the run ends or has ended."""
+        return min(self.revoked_ms, self.authority.authority_end_ms)
+
     @property
     def occupies_endpoint(self) -> bool:
         """Return whether the run may be using capacity of the endpoint."""
@@ -130,6 +145,10 @@
             if has_shrunk or not run.demand.fits(capacity)
         ]
 
+    def lapsed(self, now_ms: Milliseconds) -> list[Run]:
+        """Return the waiting runs whose authority has ended."""
+        return [run for run in self.waiting() if run.authority_end_ms < now_ms]
+
     def occupied(self) -> Demand:
         """Return the capacity of all runs that may be active."""
         return _total(run for run in self if run.occupies_endpoint)
@@ -146,13 +165,17 @@
         """Remove an orphan whose stop is confirmed or that has ended."""
         self._orphans.pop(ref, None)
 
-    def revoked_since_ms(self) -> Milliseconds:
-        """Return when the first run that may be active lost its authority.
+    def authority_end_ms(self) -> Milliseconds:
+        """Return when the first run that may be active loses its authority.
 
         Runs whose stop is confirmed do not count. Infinite without such a run.
         """
-        revoked = [run.revoked_ms for run in self if not run.stop_confirmed]
-        return min((*revoked, *self._orphans.values()), default=math.inf)
+        ends = [
+            run.authority_end_ms
+            for run in self
+            if run.occupies_endpoint and not run.stop_confirmed
+        ]
+        return min((*ends, *self._orphans.values()), default=math.inf)
 
     def is_busy(self) -> bool:
         """Return whether any run may be using capacity of the endpoint."""
