Let calls decide whether another reported endpoint replaces the known one

Cause: a valid report under another id, for example of another writer, ended the incarnation at once, with all its runs, while the endpoint worked on. An endpoint whose start time was lower than that of an odd report was ignored for good afterwards. The guard also announced the pool of the odd report. Change: such a report names a successor only. It takes over once the known endpoint answers no calls and all leases have expired, and is dropped when the known one answers a later call. An endpoint that has never answered gives way to any other report. The guard announces the endpoint that it supervises.

--- a/src/borageward/runs/announcer.py
+++ b/src/borageward/runs/announcer.py
@@ -45,15 +45,14 @@
 
     def set_endpoint(self, pool: str, labels: tuple[str, ...]) -> None:
         """Announce the pool and labels of the endpoint at once if changed."""
-        guard = msgspec.structs.replace(
-            self._request.guard,
-            pool=pool,
-            labels=labels,
+        announced = self._request.guard
+        if (announced.pool, announced.labels) == (pool, labels):
+            return
+        self._request = AnnounceGuard(
+            msgspec.structs.replace(announced, pool=pool, labels=labels),
         )
-        if guard != self._request.guard:
-            self._request = AnnounceGuard(guard)
-            self._changed.set()
-            self._changed = trio.Event()
+        self._changed.set()
+        self._changed = trio.Event()
 
     def add_seeds(self, seeds: tuple[str, ...]) -> None:
         """Add replica addresses; known addresses are ignored."""
--- a/src/borageward/runs/incarnations.py
+++ b/src/borageward/runs/incarnations.py
@@ -66,6 +66,9 @@
         self._supervisor: RunSupervisor | None = None
         # The endpoint of the former incarnation.
         self._former: Endpoint | None = None
+        # Report of another endpoint while the current one may be alive.
+        self._successor: EndpointStatus | None = None
+        self._successor_ms: Milliseconds = 0
         self._scope = trio.CancelScope()
         self._nursery: trio.Nursery | None = None
 
@@ -101,7 +104,9 @@
             self._start_incarnation(status)
         elif supervisor.endpoint.status.incarnation == status.incarnation:
             self._update(supervisor, status)
-        elif status.born_ms >= supervisor.endpoint.status.born_ms:
+        elif supervisor.endpoint.status.endpoint_id != status.endpoint_id:
+            self._report_other(supervisor, status)
+        elif status.born_ms > supervisor.endpoint.status.born_ms:
             self._replace_incarnation(supervisor, status)
 
     def report_leaving(self, endpoint_id: str, born_ms: int = 0) -> None:
@@ -134,6 +139,27 @@
                 supervisor.revoke(run, self._clock.now_ms())
         self._on_change()
 
+    def _report_other(
+        self,
+        supervisor: RunSupervisor,
+        status: EndpointStatus,
+    ) -> None:
+        """Process a report under another id than that of the endpoint.
+
+        It may come from another writer or from an endpoint that has ended, so
+        it does not prove that the current endpoint has ended. The reported one
+        succeeds it once it answers no calls and has no runs.
+        """
+        endpoint = supervisor.endpoint
+        if endpoint.is_ready:
+            if status.born_ms < endpoint.status.born_ms:
+                return
+            if endpoint.reachable or self._table.is_busy():
+                self._successor = status
+                self._successor_ms = self._clock.now_ms()
+                return
+        self._replace_incarnation(supervisor, status)
+
     def _update(
         self,
         supervisor: RunSupervisor,
@@ -162,6 +188,7 @@
             former,
         )
         endpoint.draining = self._draining
+        self._successor = None
         self._log.event(
             'endpoint_found',
             endpoint=status.endpoint_id,
@@ -178,6 +205,7 @@
             self._log,
         )
         nursery.start_soon(self._supervise, self._supervisor, self._scope)
+        self._on_change()
 
     async def _supervise(
         self,
@@ -207,10 +235,17 @@
             return
         supervisor.end_expired()
         supervisor.admit()
-        if endpoint.has_left and not self._table.is_busy():
-            self._end_incarnation('endpoint is shutting down')
+        if not self._table.is_busy():
+            self._succeed(supervisor)
         self._on_change()
 
+    def _succeed(self, supervisor: RunSupervisor) -> None:
+        """End an unreachable incarnation without runs if that is expected."""
+        if self._successor is not None:
+            self._replace_incarnation(supervisor, self._successor)
+        elif supervisor.endpoint.has_left:
+            self._end_incarnation('endpoint is shutting down')
+
     def _handle_restart(self, endpoint: Endpoint, born_ms: int) -> None:
         """Supervise the incarnation that has replied instead of the known one.
 
@@ -254,8 +289,19 @@
         supervisor = self._supervisor
         if supervisor is None or supervisor.endpoint is not endpoint:
             return
+        self._ignore_successor(requested_ms)
         supervisor.observe(lists, requested_ms)
         if all(self._table.find(item.ref) for item in lists.running):
             self._only_own_runs_listed = True
         supervisor.admit()
         self._on_change()
+
+    def _ignore_successor(self, requested_ms: Milliseconds) -> None:
+        """Drop the report of a successor that an answer has disproved.
+
+        The current endpoint has answered a call of ``requested_ms``.
+        """
+        successor = self._successor
+        if successor is not None and requested_ms >= self._successor_ms:
+            self._successor = None
+            self._log.warning('report_ignored', endpoint=successor.endpoint_id)
--- a/src/borageward/runs/service.py
+++ b/src/borageward/runs/service.py
@@ -38,7 +38,7 @@
             open_port,
             self._table,
             self._sessions.report_run_end,
-            self._sessions.notify,
+            self._handle_change,
             clock,
             SystemClock(),
             log,
@@ -86,8 +86,6 @@
     def report(self, status: EndpointStatus) -> None:
         """Process a status report of the endpoint."""
         self._monitor.report(status)
-        if self._announcer is not None:
-            self._announcer.set_endpoint(status.pool, status.labels)
 
     def report_leaving(self, endpoint_id: str, born_ms: int = 0) -> None:
         """Start no further runs at an endpoint that is shutting down.
@@ -96,6 +94,13 @@
         """
         self._monitor.report_leaving(endpoint_id, born_ms)
 
+    def _handle_change(self) -> None:
+        self._sessions.notify()
+        supervisor = self._monitor.supervisor
+        if supervisor is not None and self._announcer is not None:
+            status = supervisor.endpoint.status
+            self._announcer.set_endpoint(status.pool, status.labels)
+
     async def _run(
         self,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -291,6 +291,10 @@
             'The endpoint reported that it is about to end; its runs end by '
             'its lists or with their lease.',
         ),
+        'report_ignored': _warning(
+            'endpoint',
+            'Another endpoint was reported while the known one answers calls.',
+        ),
         'endpoint_lost': _warning(
             'reason, detail',
             'The endpoint does not answer the guard.',
--- a/tests/runs/guardharness.py
+++ b/tests/runs/guardharness.py
@@ -124,8 +124,10 @@
         log = EventLog()
         self.table = RunTable()
         self.sessions = SessionServer(self.table, clock, log)
+        # Endpoints at this host by id, besides the first one.
+        self.successors = {}
         self.monitor = EndpointMonitor(
-            lambda status: endpoint,
+            lambda status: self.successors.get(status.endpoint_id, endpoint),
             self.table,
             self.sessions.report_run_end,
             self.sessions.notify,
