Report a refused run only once the other run of its task has ended

Cause: the guard refused a run of a task that had another session's run at once, and the entry, which knows nothing of that run, placed the task at another guard while the first run worked on.

--- a/src/borageward/runs/sessionserver.py
+++ b/src/borageward/runs/sessionserver.py
@@ -22,6 +22,7 @@
 from borageward.runs.endpointstate import EndpointStates
 from borageward.runs.incarnations import EndpointMonitor
 from borageward.runs.link import EntryLink
+from borageward.runs.refusals import PendingRefusals
 from borageward.runs.sessions import (
     SESSION_TIMEOUT_MS,
     UNLINKED_TIMEOUT_MS,
@@ -61,6 +62,7 @@
         self._sessions = SessionTable(clock)
         self._states = EndpointStates(table, self._sessions, clock)
         self._by_link: dict[EntryLink, Session] = {}
+        self._refusals = PendingRefusals()
         self._monitor: EndpointMonitor | None = None
         self._changed = trio.Event()
         # Number of changes of the state.
@@ -92,10 +94,15 @@
         outcome: RunOutcome,
         detail: str,
     ) -> None:
-        """Queue the end of a run for its entry and schedule a new state."""
+        """Queue the end of a run for its entry and schedule a new state.
+
+        A run that was refused because of this one is reported with it, as its
+        entry may start the task elsewhere from then on.
+        """
         session = self._sessions.find(run.session)
         if session is not None:
             session.add_end(run.ref, outcome, detail)
+        self._refusals.report(run.ref.task)
         self.notify()
 
     async def serve(self, stream: trio.abc.Stream) -> None:
@@ -181,7 +188,10 @@
         *,
         resumed: bool,
     ) -> None:
-        refs = tuple(run.ref for run in self._table.of_session(session.entry))
+        refs = (
+            *(run.ref for run in self._table.of_session(session.entry)),
+            *self._refusals.of_session(session),
+        )
         link.post(
             SessionOpened(self._guard, resumed, refs, session.session_id),
         )
@@ -253,7 +263,14 @@
             session,
         )
         if not self._table.add(run):
-            session.add_end(ref, RunOutcome.REFUSED, 'task already has a run')
+            self._refusals.add(session, ref)
+            self._log.event(
+                'run_refused',
+                job=ref.task.job_id,
+                task=ref.task.index,
+                run=ref.run,
+                entry=session.entry,
+            )
 
     def _handle_stops(self, session: Session, message: StopRuns) -> None:
         supervisor = self._supervisor()
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -291,6 +291,11 @@
             'The endpoint reported that it is about to end; its runs end by '
             'its lists or with their lease.',
         ),
+        'run_refused': _info(
+            'job, task, run, entry',
+            'Another run of the task has not ended; the refusal is reported '
+            'once it has.',
+        ),
         'report_ignored': _warning(
             'endpoint',
             'Another endpoint was reported while the known one answers calls.',
