Ask the committed replica set whether a replica is retired

Change: Node.is_retired looks at the replica set at the commit index. Evidence: that test and test_replica_is_not_retired_before_its_removal_is_committed pass; the first failed before.

--- a/src/borageward/control/consensus/node.py
+++ b/src/borageward/control/consensus/node.py
@@ -203,8 +203,8 @@
         Only then do the remaining voters hold all that the replica has
         acknowledged, so that its disk may be erased.
         """
-        is_committed = self._applier.commit_index >= self._log.replicas_index
-        return is_committed and voter_id in self._log.replicas.retired
+        committed = self._log.replicas_at(self._applier.commit_index)
+        return voter_id in committed.retired
 
     async def change_replicas(
         self,
