Replace no voter by a learner that is silent itself

Cause: a voter that was silent for 2.5 s was removed as soon as a learner held all committed entries. Whether the learner still answers was not asked, so a learner frozen together with the voter counted. Its promotion then failed, and the two voters left did not survive the loss of one disk. Change: a learner takes a voter's place only if it has answered a request of the last 500 ms.

--- a/src/borageward/control/cluster/repair.py
+++ b/src/borageward/control/cluster/repair.py
@@ -19,6 +19,9 @@
 # A voter that has not answered for this time may be replaced by a learner. A
 # suspended or partitioned voter that returns later joins again as a learner.
 _REPLACE_AFTER_MS = 2500.0
+# A learner that has not answered for this time takes no voter's place. Requests
+# are repeated every 120 ms.
+_LEARNER_SILENCE_MS = 500.0
 
 
 class VoterRepair:
@@ -78,7 +81,7 @@
         if superseded is not None:
             await self._remove_replica(superseded, 'superseded')
             return
-        ready = [learner for learner in learners if self._is_caught_up(learner)]
+        ready = [learner for learner in learners if self._is_ready(learner)]
         if not ready:
             return
         if len(voters) < self._options.voter_count:
@@ -117,6 +120,15 @@
         silence_ms = self._node.silence_ms(replica.voter_id)
         return 0 if silence_ms is None else silence_ms
 
+    def _is_ready(self, learner: Replica) -> bool:
+        """Return whether a learner can take the place of a voter at once.
+
+        One that is silent as well would leave too few voters to survive the
+        loss of another disk.
+        """
+        is_silent = self._silence_ms(learner) > _LEARNER_SILENCE_MS
+        return self._is_caught_up(learner) and not is_silent
+
     def _is_caught_up(self, replica: Replica) -> bool:
         return self._node.is_caught_up(replica.voter_id)
 
--- a/tests/control/test_retired_replicas.py
+++ b/tests/control/test_retired_replicas.py
@@ -218,6 +218,33 @@
     run(scenario, seed=1, count=3)
 
 
+@pytest.mark.parametrize('seed', range(5))
+def test_silent_spare_replaces_no_voter(seed):
+    """Guards against a cluster that one lost disk ends.
+
+    A voter and the spare freeze at the same time. Another voter loses its disk
+    meanwhile, and the two voters with whole disks have to go on.
+    """
+
+    async def scenario(cluster, operator):
+        spare = cluster[3]
+        leader, frozen, lost = by_leader(cluster)[:3]
+        for process in (frozen, spare):
+            process.gate.freeze()
+        await trio.sleep(4.5)
+        await operator.publish_until_acknowledged()
+        lost.wipe()
+        lost.first_start = False
+        await trio.sleep(1)
+        lost.start()
+        await trio.sleep(0.5)
+        for process in (frozen, spare):
+            process.gate.thaw()
+        await trio.sleep(12)
+
+    run(scenario, seed=seed, count=4)
+
+
 async def wait_erasing(process):
     """Wait until a process has closed its replica to erase the disk."""
     with trio.fail_after(CALM_S):
