--- a/src/borageward/control/cluster/supervisor.py
+++ b/src/borageward/control/cluster/supervisor.py
@@ -15,9 +15,11 @@
 from borageward.control.cluster.options import ClusterOptions
 from borageward.control.cluster.replica import ClusterReplica
 from borageward.control.storage import Disk, StorageError
-from borageward.failures import Failure
+from borageward.failures import Failure, FailureReason
 from borageward.telemetry import EventLog
 
+_DISK_FULL_RETRY_MS = 500.0
+
 
 class ReplicaSupervisor:
     """Runs a replica on a disk, and another one each time its id is retired."""
@@ -53,9 +55,16 @@
         """
         while True:
             await self._run_replica()
-            failure = await renew_identity(self._options, self._disk)
-            if failure is not None:
+            await self._renew_identity()
+
+    async def _renew_identity(self) -> None:
+        """Give the disk a new id, as soon as there is space for it."""
+        failure = await renew_identity(self._options, self._disk)
+        while failure is not None:
+            if failure.reason is not FailureReason.DISK_FULL:
                 raise StorageError(failure)
+            await self._clock.sleep_ms(_DISK_FULL_RETRY_MS)
+            failure = await renew_identity(self._options, self._disk)
 
     async def _run_replica(self) -> None:
         identity = await choose_identity(self._options, self._disk)
--- a/src/borageward/messages/consensus.py
+++ b/src/borageward/messages/consensus.py
@@ -124,7 +124,7 @@
     """Replicate log entries; without entries it is the leader's heartbeat.
 
     ``previous_index`` and ``previous_term`` are those of the log entry before
-    ``entries``. ``recipient`` is that of ``RequestVote``.
+    ``entries``. ``recipient`` is as in ``RequestVote``.
     """
 
     term: int
@@ -154,7 +154,7 @@
     """One part of the leader's snapshot; parts are sent in order.
 
     ``last_index`` is the index of the last log entry in the snapshot,
-    ``offset`` the position of the part in bytes. ``recipient`` is that of
+    ``offset`` the position of the part in bytes. ``recipient`` is as in
     ``RequestVote``.
     """
 
--- a/tests/control/test_retired_replicas.py
+++ b/tests/control/test_retired_replicas.py
@@ -190,6 +190,23 @@
     run(scenario, seed=1, count=3)
 
 
+def test_retired_replica_waits_for_space_on_its_disk():
+    """Guards against a process that ends while its disk is full."""
+
+    async def scenario(cluster, operator):
+        process = cluster[0]
+        process.medium.fill()
+        await freeze(process)
+        await trio.sleep(CALM_S)
+        assert process.alive
+        process.medium.full = False
+        await trio.sleep(CALM_S)
+        assert process.voter_id != process.address
+        assert process.node.leader is not None
+
+    run(scenario, seed=1)
+
+
 def test_replica_answers_for_its_own_id_only():
     """Guards against an answer that counts for a former id of the address.
 
