Answer every open request before an entry ends

Cause: the drain closed the server while requests were open; nothing told dispatch that the entry ends.

--- a/src/borageward/dispatch/service.py
+++ b/src/borageward/dispatch/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import secrets
 from collections.abc import Callable
@@ -24,6 +25,7 @@
 _NONCE_BYTES = 8
 _MS_PER_SECOND = 1000.0
 _RETRY_AFTER_MS = 1000.0
+_SHUTTING_DOWN = 'entry is shutting down'
 # A request that arrives before the first manifest waits this long for it.
 _MANIFEST_WAIT_MS = 1000.0
 _LINK_UPDATE_INTERVAL_MS = 100.0
@@ -136,6 +138,25 @@
         """End a job at a caller's request, with the verdict EXPIRED."""
         job.end(JobOutcome(JobVerdict.EXPIRED, 'cancelled'))
 
+    def refuse_waiting(self, remaining_ms: Milliseconds) -> None:
+        """Refuse the jobs that cannot end before this entry does.
+
+        These are the jobs of which no run was ordered and whose estimated run
+        time exceeds ``remaining_ms``.
+        """
+        for job in self._dispatcher.jobs.values():
+            if not job.ordered and job.chain_ms > remaining_ms:
+                job.end(JobOutcome(JobVerdict.REFUSED, _SHUTTING_DOWN))
+
+    def end_jobs(self) -> None:
+        """End all jobs because this entry ends.
+
+        Jobs of which no run was ordered are refused, the others expire.
+        """
+        self.refuse_waiting(-math.inf)
+        for job in self._dispatcher.jobs.values():
+            job.end(JobOutcome(JobVerdict.EXPIRED, _SHUTTING_DOWN))
+
     async def _wait_for_outcome(
         self,
         job: Job,
--- a/tests/dispatch/test_dispatch_service.py
+++ b/tests/dispatch/test_dispatch_service.py
@@ -119,3 +119,45 @@
     with trio.move_on_after(0.1):
         await service.submit(request(deadline_ms=3000))
     assert log.last['job_ended']['reason'] == 'caller left'
+
+
+async def test_waiting_job_is_refused_before_its_entry_ends(
+    nursery, autojump_clock
+):
+    """Guards against a connection that closes without an answer.
+
+    No run of the job was ordered, so its caller may send it elsewhere.
+    """
+    service = await start_service(nursery)
+    outcomes = []
+
+    async def submit():
+        outcomes.append(await service.submit(request(deadline_ms=30_000)))
+
+    nursery.start_soon(submit)
+    await trio.sleep(0.1)
+    service.refuse_waiting(remaining_ms=500)
+    await trio.sleep(0.1)
+    assert not outcomes
+    service.refuse_waiting(remaining_ms=50)
+    await trio.sleep(0.1)
+    assert [item.verdict.value for item in outcomes] == ['refused']
+
+
+async def test_ordered_job_expires_when_its_entry_ends(nursery, autojump_clock):
+    """Guards against a refusal of a job that may have run."""
+    service = await start_service(nursery)
+    outcomes = []
+
+    async def submit():
+        outcomes.append(await service.submit(request(deadline_ms=30_000)))
+
+    nursery.start_soon(submit)
+    await trio.sleep(0.1)
+    service.find('job').ordered = True
+    service.refuse_waiting(remaining_ms=0)
+    await trio.sleep(0.1)
+    assert not outcomes
+    service.end_jobs()
+    await trio.sleep(0.1)
+    assert [item.verdict.value for item in outcomes] == ['expired']
