Show that a run outlasts the pause after which callers repeat its job

Callers send a job to another entry 1,300 ms after their connection broke. Three tests in virtual time with an endpoint that answers no stop, one for each hypothesis of docs/incidents/twice-repeated-job.md: an entry that is cut off, a killed entry whose broken link the guard notices late, and an order that a partition held up.

--- /dev/null
+++ b/tests/runs/test_repeated_jobs.py
@@ -0,0 +1,66 @@
+"""Runs of an entry that is gone when its caller repeats the job elsewhere."""
+
+from __future__ import annotations
+
+import trio
+
+from tests.runs.guardharness import ref, running_guard
+
+# Callers send a job to another entry this long after its connection broke.
+REPEAT_S = 1.3
+
+
+async def test_run_of_a_cut_off_entry_ends_before_its_job_is_repeated(
+    autojump_clock,
+):
+    """Guards against a second run beside the first one.
+
+    The entry loses its power or is cut off, which breaks no link. The endpoint
+    answers no stop, so only the lease ends the run.
+    """
+    async with running_guard(work_ms=9000) as (_, endpoint, entry, _nursery):
+        endpoint.unanswered_stops = 1000
+        await entry.start(0)
+        await trio.sleep(0.5)
+        entry.frozen = True
+        await trio.sleep(REPEAT_S)
+        assert endpoint.starts == [ref(0)]
+        assert endpoint.lease_expired
+
+
+async def test_run_of_a_killed_entry_ends_in_time_at_a_guard_that_notices_late(
+    autojump_clock,
+):
+    """Guards against a bound that begins when the broken link is noticed.
+
+    The guard was suspended or slow when the entry was killed.
+    """
+    async with running_guard(work_ms=9000) as (_, endpoint, entry, _nursery):
+        endpoint.unanswered_stops = 1000
+        await entry.start(0)
+        await trio.sleep(0.5)
+        entry.frozen = True
+        await trio.sleep(0.6)
+        await entry.connection.close()
+        await trio.sleep(REPEAT_S - 0.6)
+        assert endpoint.lease_expired
+
+
+async def test_delayed_order_of_a_cut_off_entry_is_bounded_by_its_echo(
+    autojump_clock,
+):
+    """Guards against an order that gets the longer lease of another entry.
+
+    A partition held the order up, and the entry has been gone since it sent it.
+    """
+    async with running_guard(work_ms=9000) as (guard, endpoint, entry, nursery):
+        endpoint.unanswered_stops = 1000
+        await entry.start(0)
+        gone = await guard.connect('entry-2')
+        nursery.start_soon(gone.run)
+        await gone.open()
+        gone.frozen = True
+        await trio.sleep(0.7)
+        await gone.start(1)
+        await trio.sleep(REPEAT_S - 0.7)
+        assert ref(1).task not in endpoint.running or endpoint.lease_expired
