--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -150,6 +150,15 @@
         Until the endpoint has confirmed the stop, the lease is not extended
         beyond its usual duration after this time.
         """
+        if not run.is_revoked:
+            self._log.event(
+                'run_revoked',
+                job=run.ref.task.job_id,
+                task=run.ref.task.index,
+                run=run.ref.run,
+                entry=run.session,
+                state=run.state.value,
+            )
         run.revoked_ms = min(run.revoked_ms, revoked_ms)
         self.stop(run)
 
@@ -232,6 +241,15 @@
             outcome=outcome.value,
             detail=detail,
         )
+        if run.is_revoked:
+            self._log.event(
+                'revoked_run_ended',
+                job=run.ref.task.job_id,
+                task=run.ref.task.index,
+                run=run.ref.run,
+                detail=detail,
+                after_ms=round(self._clock.now_ms() - run.revoked_ms),
+            )
         self._on_end(run, outcome, detail)
 
     def _spawn(
--- a/src/borageward/runs/table.py
+++ b/src/borageward/runs/table.py
@@ -70,6 +70,11 @@
         """Return when the authority of the run ends or has ended."""
         return min(self.revoked_ms, self.authority.authority_end_ms)
 
+    @property
+    def is_revoked(self) -> bool:
+        """Return whether the run lost its authority before its time."""
+        return self.revoked_ms < math.inf
+
     @property
     def occupies_endpoint(self) -> bool:
         """Return whether the run may be using capacity of the endpoint."""
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -337,6 +337,14 @@
             'job, task, percent',
             'A run made no progress for too long and is stopped.',
         ),
+        'run_revoked': _info(
+            'job, task, run, entry, state',
+            'A run lost its authority and is stopped.',
+        ),
+        'revoked_run_ended': _info(
+            'job, task, run, detail, after_ms',
+            'A run without authority has ended, this long after it lost it.',
+        ),
         'orphan_stopped': _info(
             'job, run',
             'A run that no session of this guard requested is stopped.',
