Handle the departure of callers before a placement round

What callers saw: a task may start although its caller has left. After a freeze of its entry, the state of a guard and the end of the caller's connection are read in the same pass; the placement round and the end of the job then ran in random order, and half of the time the task was ordered with a fresh echo. The caller may have repeated the job at another entry.

Change: a placement round begins one pass of the event loop after its cause.

Evidence: test_task_is_not_placed_once_its_caller_has_left failed before (three runs of three) and passes in three runs of three; tests/dispatch pass.

--- a/src/borageward/dispatch/dispatcher.py
+++ b/src/borageward/dispatch/dispatcher.py
@@ -139,6 +139,9 @@
         while True:
             await self._wake.wait()
             self._wake = trio.Event()
+            # Callers whose disconnection arrived with the event that causes
+            # this round are handled first.
+            await trio.lowlevel.checkpoint()
             self._dispatch()
 
     def _handle_crash(self, job: Job, task: JobTask) -> None:
