Handle no request of a client that has left already

What callers saw: a task may start although its caller has left. An entry that was frozen reads the requests that lie in its accept queue, also of callers who have closed their connection since and have repeated the job at another entry.

Change: the server looks for the end of the connection, without waiting, between reading a request and calling the handler.

Evidence: test_request_of_a_client_that_has_left_is_not_handled fails without the change; tests/http pass with it.

--- a/src/borageward/http/server.py
+++ b/src/borageward/http/server.py
@@ -102,6 +102,8 @@
         if isinstance(request, RequestRefused):
             await connection.send(HttpResponse(request.status), last=True)
             return False
+        if await connection.has_client_left():
+            return False
         self._requests += 1
         try:
             return await self._answer(connection, request)
--- a/src/borageward/http/serverconnection.py
+++ b/src/borageward/http/serverconnection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import attrs
 import h11
 import trio
@@ -96,6 +98,24 @@
         except _SEND_ERRORS as error:
             raise ConnectionEnded from error
 
+    async def has_client_left(self) -> bool:
+        """Return whether the client is known to have disconnected already.
+
+        A process that stood still reads a request although its client has left
+        since. A connection with TLS counts as open, and so does one on which
+        further data has arrived.
+        """
+        stream = self._stream
+        if not isinstance(stream, trio.SocketStream):
+            return False
+        if not stream.socket.is_readable():
+            return False
+        try:
+            peeked = await stream.socket.recv(1, socket.MSG_PEEK)
+        except _CONNECTION_ERRORS:
+            return True
+        return not peeked
+
     async def wait_until_disconnected(self) -> bool:
         """Return true once the client disconnects, false if it sends data.
 
--- /dev/null
+++ b/tests/http/test_departed_clients.py
@@ -0,0 +1,43 @@
+"""HTTP requests whose client has left before or while they are served."""
+
+from __future__ import annotations
+
+import socket
+
+from trio.testing import wait_all_tasks_blocked
+
+from tests.http.test_server import GET, connect, serving
+
+# Seconds without any event after which the server has handled all input.
+QUIET_S = 0.05
+
+
+async def settled():
+    """Wait until the server has handled all input that has arrived."""
+    await wait_all_tasks_blocked(QUIET_S)
+
+
+def send_and_leave(server, request):
+    """Send a request and close the connection before the server can act.
+
+    Nothing else runs meanwhile, as in a process that stands still.
+    """
+    address = (server.address.host, server.address.port)
+    with socket.create_connection(address) as client:
+        client.sendall(request)
+
+
+async def test_request_of_a_client_that_has_left_is_not_handled():
+    """Guards against a task that starts although its caller has left.
+
+    A server that stood still reads the request after its caller has closed the
+    connection, and may have repeated the request at another server. The second
+    request shows that the first one has been read.
+    """
+    async with serving() as (handler, server):
+        send_and_leave(server, GET.replace(b'/x', b'/left'))
+        await settled()
+        stream = await connect(server)
+        await stream.send_all(GET)
+        await settled()
+        assert [item.path for item in handler.requests] == ['/x']
