Notice that a client has left also after further bytes of it

What callers saw: a task may run twice at the same time. Once a client had sent any byte after its request, such as a line end or its next request, the server no longer looked for the end of the connection until the response. The job of a caller that had left worked on, while the caller repeated it elsewhere.

Change: the server goes on reading, up to 64 KiB, until the connection ends.

Evidence: two tests of tests/http/test_departed_clients.py failed before; the tests of tests/http pass.

--- a/src/borageward/http/serverconnection.py
+++ b/src/borageward/http/serverconnection.py
@@ -17,6 +17,8 @@
 _TOO_LARGE = 413
 # Disconnects a client that does not read its response.
 _SEND_TIMEOUT_S = 5.0
+# Data that a client may send before it has the response to its request.
+_MAX_EARLY_BYTES = 65_536
 
 _CONNECTION_ERRORS = (
     OSError,
@@ -117,19 +119,20 @@
         return not peeked
 
     async def wait_until_disconnected(self) -> bool:
-        """Return true once the client disconnects, false if it sends data.
+        """Return true once the client disconnects.
 
-        Such data is kept as the start of the next request.
+        Data of the client is kept as the start of the next request. Returns
+        false when the client has sent more than ``_MAX_EARLY_BYTES`` of it:
+        its end can then be noticed only with the next request.
         """
-        if self._protocol.trailing_data[0]:
-            return False
-        try:
-            chunk = await self._stream.receive_some(_READ_BYTES)
-        except _CONNECTION_ERRORS:
-            return True
-        if not chunk:
-            return True
-        self._protocol.receive_data(bytes(chunk))
+        while len(self._protocol.trailing_data[0]) <= _MAX_EARLY_BYTES:
+            try:
+                chunk = await self._stream.receive_some(_READ_BYTES)
+            except _CONNECTION_ERRORS:
+                return True
+            if not chunk:
+                return True
+            self._protocol.receive_data(bytes(chunk))
         return False
 
     async def close(self) -> None:
--- a/tests/http/test_departed_clients.py
+++ b/tests/http/test_departed_clients.py
@@ -41,3 +41,32 @@
         await stream.send_all(GET)
         await settled()
         assert [item.path for item in handler.requests] == ['/x']
+
+
+async def test_client_that_leaves_after_further_bytes_is_noticed():
+    """Guards against work for a caller that has sent more than one request.
+
+    Its further bytes are the start of the next request or a stray line end.
+    """
+    async with serving() as (handler, server):
+        stream = await connect(server)
+        await stream.send_all(GET)
+        await settled()
+        await stream.send_all(b'\r\n')
+        await settled()
+        await stream.aclose()
+        await settled()
+        assert handler.requests
+        assert handler.cancelled.is_set()
+
+
+async def test_client_that_pipelines_a_request_and_leaves_is_noticed():
+    """Guards against work for a caller whose next request came at once."""
+    async with serving() as (handler, server):
+        stream = await connect(server)
+        await stream.send_all(GET + GET)
+        await settled()
+        await stream.aclose()
+        await settled()
+        assert handler.requests
+        assert handler.cancelled.is_set()
