End a job when the newest connection of its caller ends

What callers saw: a task may run twice at the same time. A caller that has lost its connection repeats the job, possibly at the same entry. If the entry had not noticed the first loss, the job then had two callers, and went on until its deadline for the dead connection after the second one was lost too, while the caller repeated it at another entry.

Change: a job id has one caller with one open request, so the newest submission decides when the job ends.

Evidence: test_job_ends_once_the_newest_of_its_callers_has_left failed before; tests/dispatch: 66 passed.

--- a/src/borageward/dispatch/job.py
+++ b/src/borageward/dispatch/job.py
@@ -113,8 +113,8 @@
         self._ended = trio.Event()
         # Whether a run was ever ordered, so that the job may have run.
         self.ordered = False
-        # Number of callers that wait for the outcome.
-        self.callers = 0
+        # Number of times that callers have submitted the job at this entry.
+        self.submissions = 0
         self._release_steps()
 
     @property
--- a/src/borageward/dispatch/service.py
+++ b/src/borageward/dispatch/service.py
@@ -114,7 +114,8 @@
         """Run a job and return its outcome.
 
         A job that is submitted again while it is in progress returns the same
-        outcome. The job is stopped when no caller waits for it any more.
+        outcome. Its caller has lost the earlier connections, even if this entry
+        has not noticed, so the job is stopped when the newest one ends.
 
         A caller whose ``deadline_ms`` passes gets the verdict REFUSED if no run
         of the job was ordered, and EXPIRED otherwise.
@@ -124,13 +125,13 @@
             job = Job(request, self._clock.now_ms())
             self._dispatcher.add(job)
             self._log_accepted(job)
-        job.callers += 1
+        job.submissions += 1
+        submission = job.submissions
         outcome = JobOutcome(JobVerdict.EXPIRED, 'caller left')
         try:
             outcome = await self._wait_for_outcome(job, request.deadline_ms)
         finally:
-            job.callers -= 1
-            if not job.callers:
+            if submission == job.submissions:
                 self._end_job(job, outcome)
         return outcome
 
@@ -170,7 +171,7 @@
         return JobOutcome(verdict, 'deadline passed', _RETRY_AFTER_MS)
 
     def _end_job(self, job: Job, outcome: JobOutcome) -> None:
-        """Stop a job that has no callers left, with their outcome."""
+        """Stop a job whose caller has its outcome or has left."""
         job.end(outcome)
         self._dispatcher.remove(job)
         self._log.event(
