End a job that is cancelled through another entry

Change: an entry that does not own the job reports the cancellation with its next FetchView to every control replica. Replicas keep recent cancellations in memory, bounded in number and time, and hand new ones on with the views that all entries fetch; the owner ends the job.

The constructor of Directory has a new parameter, which test_directory.py passes; its checks are unchanged.

--- a/src/borageward/control/cluster/service.py
+++ b/src/borageward/control/cluster/service.py
@@ -8,6 +8,7 @@
 import trio
 
 from borageward.clock import Clock
+from borageward.control.cluster.cancellations import RecentCancellations
 from borageward.control.cluster.network import FrameNetwork
 from borageward.control.cluster.options import ClusterOptions
 from borageward.control.cluster.registry import GuardRegistry
@@ -64,6 +65,7 @@
         Raises ``ValueError`` for an invalid address in the options.
         """
         self._registry = GuardRegistry(clock, log, random.Random())
+        self._cancellations = RecentCancellations(clock, random.Random())
         self._supervisor = ReplicaSupervisor(
             options,
             disk,
@@ -165,11 +167,14 @@
             manifest = None
         version = self._registry.version()
         known = version == request.guards_version
+        self._cancellations.add(request.reports)
         return ClusterView(
             manifest,
             version,
             None if known else self._registry.live(),
             _replica_addresses(replica),
+            self._cancellations.version,
+            self._cancellations.since(request.cancellations_version),
         )
 
 
--- a/src/borageward/dispatch/__init__.py
+++ b/src/borageward/dispatch/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from borageward.dispatch.request import (
+    CancelResult,
     JobOutcome,
     JobRequest,
     JobVerdict,
@@ -11,6 +12,7 @@
 from borageward.dispatch.service import DispatchService
 
 __all__ = (
+    'CancelResult',
     'DispatchService',
     'JobOutcome',
     'JobRequest',
--- a/src/borageward/dispatch/directory.py
+++ b/src/borageward/dispatch/directory.py
@@ -5,14 +5,17 @@
 from collections.abc import Callable
 
 import attrs
+import msgspec
 
 from borageward.clock import Clock, Milliseconds
+from borageward.dispatch.cancellations import CancellationReports
 from borageward.discovery import (
     ReplicaCaller,
     ReplicaFanout,
     find_guard_problem,
 )
 from borageward.messages.discovery import (
+    Cancellation,
     ClusterView,
     FetchView,
     GuardAddress,
@@ -24,6 +27,9 @@
 # number.
 _POLL_INTERVAL_MS = 100.0
 _POLL_TIMEOUT_MS = 600.0
+# New reports of cancellations are sent before the next poll is due, together
+# at most this often.
+_REPORT_INTERVAL_MS = 50.0
 # Until the first manifest and guards arrive, the entry cannot serve any caller,
 # so it polls more often.
 _FIRST_POLL_INTERVAL_MS = 50.0
@@ -55,16 +61,21 @@
         seeds: tuple[str, ...],
         calls: ReplicaCaller,
         on_change: Callable[[], None],
+        on_cancellations: Callable[[str, tuple[Cancellation, ...]], None],
         clock: Clock,
         log: EventLog,
     ) -> None:
         """Prepare to poll the seeds and the replicas that they name.
 
-        ``on_change`` is called when the manifest or the guards have changed.
+        ``on_change`` is called when the manifest or the guards have changed,
+        ``on_cancellations`` with the address of a replica and the cancellations
+        that it hands on. The same ones come from each replica.
         """
         self._replicas = ReplicaFanout(seeds, self._poll)
         self._calls = calls
         self._on_change = on_change
+        self._on_cancellations = on_cancellations
+        self._reports = CancellationReports(clock)
         self._clock = clock
         self._log = log
         self._manifest: QueueManifest | None = None
@@ -90,25 +101,47 @@
         """Add control replicas to poll."""
         self._replicas.add(seeds)
 
+    async def report_cancellation(self, job_id: str) -> bool:
+        """Ask the entry that owns a job, through the replicas, to end it.
+
+        Returns whether the replicas have accepted the report within one second.
+        """
+        return await self._reports.report(job_id)
+
     async def run(self) -> None:
         """Poll the replicas until cancelled."""
         await self._replicas.run()
 
     async def _poll(self, address: str) -> None:
-        known_guards_version = 0
+        known = FetchView(0, 0)
         self._answering.add(address)
+        self._reports.add_replica(address)
         while True:
-            known = 0 if self._manifest is None else self._manifest.version
-            view = await self._calls.call(
-                address,
-                FetchView(known, known_guards_version),
-                self._timeout_ms(),
+            batch = self._reports.batch(address)
+            request = msgspec.structs.replace(
+                known,
+                manifest_version=self._manifest_version(),
+                reports=batch.cancellations,
             )
+            view = await self._calls.call(address, request, self._timeout_ms())
             if isinstance(view, ClusterView):
-                known_guards_version = view.guards_version
+                known = _known_versions(view)
                 self._apply_view(address, view)
+            if isinstance(view, ClusterView) and view.cancellations_version:
+                self._reports.handle_answer(address, batch)
+            else:
+                self._reports.handle_failure(address)
             self._note_answer(address, answered=isinstance(view, ClusterView))
-            await self._clock.sleep_ms(self._interval_ms())
+            await self._wait_for_next_poll(address)
+
+    async def _wait_for_next_poll(self, address: str) -> None:
+        interval_ms = self._interval_ms()
+        await self._clock.sleep_ms(_REPORT_INTERVAL_MS)
+        remaining_ms = interval_ms - _REPORT_INTERVAL_MS
+        await self._reports.wait_for_news(address, max(0, remaining_ms))
+
+    def _manifest_version(self) -> int:
+        return 0 if self._manifest is None else self._manifest.version
 
     def _note_answer(self, address: str, *, answered: bool) -> None:
         """Log that a replica answers again or no longer does."""
@@ -145,6 +178,8 @@
             changed = self._replace_list(address, guards, now_ms) or changed
         if self._drop_unlisted(now_ms) or changed:
             self._on_change()
+        if view.cancellations:
+            self._on_cancellations(address, view.cancellations)
 
     def _valid_guards(
         self,
@@ -225,6 +260,11 @@
         return bool(dropped)
 
 
+def _known_versions(view: ClusterView) -> FetchView:
+    """Return the next request to the replica that has sent a view."""
+    return FetchView(0, view.guards_version, view.cancellations_version)
+
+
 def _is_news(guard: GuardAddress, known: GuardAddress | None) -> bool:
     """Return whether a listed guard replaces the known one.
 
--- a/src/borageward/dispatch/request.py
+++ b/src/borageward/dispatch/request.py
@@ -59,6 +59,17 @@
     EXPIRED = 'expired'
 
 
+class CancelResult(enum.Enum):
+    """What the request to cancel a job has led to."""
+
+    # The job was in progress at this entry and has ended.
+    ENDED = 'ended'
+    # The entry that has the job in progress, if any, will end it.
+    REPORTED = 'reported'
+    # The job may be in progress at another entry that does not hear of it.
+    UNKNOWN = 'unknown'
+
+
 @attrs.frozen(slots=True)
 class JobOutcome:
     """Verdict on a job and the reason for it.
--- a/src/borageward/dispatch/service.py
+++ b/src/borageward/dispatch/service.py
@@ -15,7 +15,13 @@
 from borageward.dispatch.dispatcher import Dispatcher
 from borageward.dispatch.fleet import Fleet
 from borageward.dispatch.job import Job
-from borageward.dispatch.request import JobOutcome, JobRequest, JobVerdict
+from borageward.dispatch.request import (
+    CancelResult,
+    JobOutcome,
+    JobRequest,
+    JobVerdict,
+)
+from borageward.messages.discovery import Cancellation
 from borageward.messages.runs import RunOutcome, RunRef
 from borageward.policy.guard_subset import GuardSubset
 from borageward.policy.run_placement import GoalPlacement
@@ -134,9 +140,28 @@
                 self._end_job(job, outcome)
         return outcome
 
-    def cancel(self, job: Job) -> None:
-        """End a job at a caller's request, with the verdict EXPIRED."""
-        job.end(JobOutcome(JobVerdict.EXPIRED, 'cancelled'))
+    async def cancel(self, job_id: str) -> CancelResult:
+        """End a job at a caller's request, with the verdict EXPIRED.
+
+        A job that is not in progress here may be at another entry, so its
+        cancellation is reported to the control replicas.
+        """
+        job = self.find(job_id)
+        if job is not None:
+            self._cancel_own(job, 'caller')
+            return CancelResult.ENDED
+        started_ms = self._clock.now_ms()
+        accepted = self._directory is not None and (
+            await self._directory.report_cancellation(job_id)
+        )
+        result = CancelResult.REPORTED if accepted else CancelResult.UNKNOWN
+        self._log.event(
+            'cancellation_reported',
+            job=job_id,
+            result=result.value,
+            took_ms=round(self._clock.now_ms() - started_ms),
+        )
+        return result
 
     def refuse_waiting(self, remaining_ms: Milliseconds) -> None:
         """Refuse the jobs that cannot end before this entry does.
@@ -157,6 +182,29 @@
         for job in self._dispatcher.jobs.values():
             job.end(JobOutcome(JobVerdict.EXPIRED, _SHUTTING_DOWN))
 
+    def _apply_cancellations(
+        self,
+        replica: str,
+        cancellations: tuple[Cancellation, ...],
+    ) -> None:
+        """End the own jobs that were cancelled at another entry.
+
+        A job that arrived after its cancellation was submitted again and goes
+        on.
+        """
+        now_ms = self._clock.now_ms()
+        for cancellation in cancellations:
+            job = self.find(cancellation.job_id)
+            cancelled_ms = now_ms - cancellation.age_ms
+            if job is not None and job.goal.arrived_ms <= cancelled_ms:
+                self._cancel_own(job, replica)
+
+    def _cancel_own(self, job: Job, origin: str) -> None:
+        if job.outcome is not None:
+            return
+        self._log.event('job_cancelled', job=job.request.job_id, origin=origin)
+        job.end(JobOutcome(JobVerdict.EXPIRED, 'cancelled'))
+
     async def _wait_for_outcome(
         self,
         job: Job,
@@ -205,6 +253,7 @@
                     self._seeds,
                     self._open_calls(nursery),
                     self._apply_directory,
+                    self._apply_cancellations,
                     self._clock,
                     self._log,
                 )
--- a/src/borageward/messages/discovery.py
+++ b/src/borageward/messages/discovery.py
@@ -25,6 +25,17 @@
     labels: tuple[str, ...] = ()
 
 
+class Cancellation(msgspec.Struct, frozen=True, array_like=True):
+    """Request of a caller to end a job, wherever it is in progress.
+
+    ``age_ms`` is the time since the request. A job that was submitted after it
+    goes on.
+    """
+
+    job_id: str
+    age_ms: float
+
+
 class AnnounceGuard(Message, frozen=True):
     """Announce that a guard is alive.
 
@@ -41,28 +52,36 @@
 
 
 class FetchView(Message, frozen=True):
-    """Ask for the manifest and the guards if they changed.
+    """Ask for what has changed, and report cancellations.
 
-    Both versions are those that the caller has, zero for none. Answered by
-    ``ClusterView``.
+    The versions are those that the caller has, zero for none. ``reports`` are
+    cancellations of jobs that the calling entry does not own; the replica
+    hands them on to all entries. Answered by ``ClusterView``.
     """
 
     manifest_version: int
     guards_version: int
+    cancellations_version: int = 0
+    reports: tuple[Cancellation, ...] = ()
 
 
 class ClusterView(Message, frozen=True):
-    """Manifest, guards and replicas as known to one control replica.
+    """Manifest, guards, replicas and cancellations of one control replica.
 
     ``manifest`` is ``None`` when there is none or the caller's version is the
     same or newer. ``guards`` is ``None`` when the caller has
     ``guards_version``. ``replicas`` are the addresses of all replicas.
+    ``cancellations`` are the recent ones that the caller does not have. A
+    replica whose ``cancellations_version`` is zero is of an earlier release
+    and has ignored the reports of the caller.
     """
 
     manifest: QueueManifest | None
     guards_version: int
     guards: tuple[GuardAddress, ...] | None
     replicas: tuple[str, ...]
+    cancellations_version: int = 0
+    cancellations: tuple[Cancellation, ...] = ()
 
 
 class JoinCluster(Message, frozen=True):
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -242,7 +242,16 @@
             'A job was refused because it would have to wait too long; `room` '
             'is the free CPU of the `endpoints` that accept runs.',
         ),
-        'job_cancelled': _info('job', 'A caller cancelled a job.'),
+        'job_cancelled': _info(
+            'job, origin',
+            'A job was cancelled; `origin` is `caller`, or the control replica '
+            'that handed on a cancellation from another entry.',
+        ),
+        'cancellation_reported': _info(
+            'job, result, took_ms',
+            'A caller cancelled a job that is not in progress here; `result` '
+            'is `reported` if the control replicas hand that on, or `unknown`.',
+        ),
         'job_ended': _info(
             'job, verdict, reason, took_ms, goal_ms, guards',
             'A job ended; `guards` lists where each task ran last.',
--- a/tests/dispatch/test_directory.py
+++ b/tests/dispatch/test_directory.py
@@ -61,6 +61,7 @@
             seeds,
             replicas,
             lambda: None,
+            lambda replica, cancellations: None,
             SystemClock(),
             EventLog(),
         )
