Report the cancellation of an own job as well

Cause: a job that was submitted again after a broken connection may be in progress at two entries until the first one notices that its caller has left. A DELETE at one of them ended that copy only.

Change: the owner answers 200 at once, as before, and adds the cancellation to its reports without waiting.

--- a/src/borageward/dispatch/cancellations.py
+++ b/src/borageward/dispatch/cancellations.py
@@ -38,7 +38,7 @@
 
 
 class CancellationReports:
-    """Cancellations of jobs that this entry does not own.
+    """Cancellations of jobs that other entries may have in progress.
 
     Each one is sent to every replica with the next call to it. It is accepted
     once a majority of the replicas that answer have it: another entry that
@@ -61,18 +61,29 @@
         Returns whether it was accepted within one second. Otherwise some
         replicas may have it, and it is still sent to the others.
         """
+        accepted = self.add(job_id)
+        if accepted is None:
+            return False
+        with trio.move_on_after(_ACCEPT_TIMEOUT_MS / _MS_PER_SECOND):
+            await accepted.wait()
+        return accepted.is_set()
+
+    def add(self, job_id: str) -> trio.Event | None:
+        """Report a cancellation without waiting.
+
+        Returns an event that is set once the report is accepted, or ``None``
+        when there are too many reports.
+        """
         self._expire()
         if len(self._reports) >= _MAX_REPORTS:
-            return False
+            return None
         report = _Report(job_id, self._clock.now_ms())
         number = next(self._numbers)
         self._reports[number] = report
         for address, unsent in self._unsent.items():
             unsent[number] = None
             self._news[address].set()
-        with trio.move_on_after(_ACCEPT_TIMEOUT_MS / _MS_PER_SECOND):
-            await report.accepted.wait()
-        return report.accepted.is_set()
+        return report.accepted
 
     def add_replica(self, address: str) -> None:
         """Prepare to send reports to a replica, also the recent ones."""
--- a/src/borageward/dispatch/directory.py
+++ b/src/borageward/dispatch/directory.py
@@ -108,6 +108,10 @@
         """
         return await self._reports.report(job_id)
 
+    def announce_cancellation(self, job_id: str) -> None:
+        """Report a cancellation without waiting for the replicas."""
+        self._reports.add(job_id)
+
     async def run(self) -> None:
         """Poll the replicas until cancelled."""
         await self._replicas.run()
--- a/src/borageward/dispatch/service.py
+++ b/src/borageward/dispatch/service.py
@@ -144,11 +144,15 @@
         """End a job at a caller's request, with the verdict EXPIRED.
 
         A job that is not in progress here may be at another entry, so its
-        cancellation is reported to the control replicas.
+        cancellation is reported to the control replicas. That of an own job is
+        reported too, without waiting: its caller may have submitted it again
+        at another entry.
         """
         job = self.find(job_id)
         if job is not None:
             self._cancel_own(job, 'caller')
+            if self._directory is not None:
+                self._directory.announce_cancellation(job_id)
             return CancelResult.ENDED
         started_ms = self._clock.now_ms()
         accepted = self._directory is not None and (
--- a/tests/dispatch/test_cancellations.py
+++ b/tests/dispatch/test_cancellations.py
@@ -195,6 +195,22 @@
     assert trio.current_time() == started
 
 
+async def test_both_entries_with_a_job_end_it(
+    autojump_clock, start_entry, submit
+):
+    """Guards against a copy of a cancelled job that goes on.
+
+    The job was submitted again at another entry after a broken connection.
+    """
+    owner, other = await start_entry(), await start_entry()
+    await trio.sleep(1)
+    await submit(owner)
+    outcomes = await submit(other)
+    assert await owner.cancel('job') is CancelResult.ENDED
+    await trio.sleep(0.5)
+    assert reasons(outcomes) == ['cancelled']
+
+
 async def test_report_is_answered_soon(autojump_clock, start_entry):
     """Guards against callers that wait for the next poll of each replica."""
     entry = await start_entry()
