List a pending refusal in every later session of its entry

What callers saw: a task may start beside another entry's run. A run that is refused because another entry has one of the same task is reported when that one has ended. The record named the session object, so that after the expiry of the session the next one did not list the run, and the entry started the task elsewhere at once.

Change: the record names the entry; the end goes to the session that it has then.

Evidence: test_refusal_outlives_the_session_in_which_it_was_ordered failed before; tests/runs: 83 passed.

--- a/src/borageward/runs/refusals.py
+++ b/src/borageward/runs/refusals.py
@@ -3,49 +3,44 @@
 from __future__ import annotations
 
 import collections
+from typing import TypeAlias
 
-import attrs
+from borageward.messages.runs import RunRef, TaskKey
 
-from borageward.messages.runs import RunOutcome, RunRef, TaskKey
-from borageward.runs.sessions import Session
-
-
-@attrs.frozen(slots=True)
-class _RefusedRun:
-    session: Session
-    ref: RunRef
+# The entry that ordered a run, and the run.
+_Refused: TypeAlias = tuple[str, RunRef]
 
 
 class PendingRefusals:
     """Refused runs whose entry may not start the task elsewhere yet.
 
-    The other run belongs to a session of which that entry knows nothing.
+    The other run belongs to a session of which that entry knows nothing. A
+    refused run is known by its entry: the entry may open another session
+    before it is reported.
     """
 
     def __init__(self) -> None:
         """Start without refused runs."""
-        self._refused: dict[TaskKey, list[_RefusedRun]] = (
-            collections.defaultdict(list)
+        self._refused: dict[TaskKey, list[_Refused]] = collections.defaultdict(
+            list,
         )
 
-    def add(self, session: Session, ref: RunRef) -> None:
+    def add(self, entry: str, ref: RunRef) -> None:
         """Add a run to be reported when the run of its task has ended."""
-        self._refused[ref.task].append(_RefusedRun(session, ref))
+        self._refused[ref.task].append((entry, ref))
 
-    def of_session(self, session: Session) -> list[RunRef]:
-        """Return the refused runs of a session that are not reported yet."""
+    def of_entry(self, entry: str) -> list[RunRef]:
+        """Return the refused runs of an entry that are not reported yet."""
         return [
-            refused.ref
+            ref
             for runs in self._refused.values()
-            for refused in runs
-            if refused.session is session
+            for name, ref in runs
+            if name == entry
         ]
 
-    def report(self, task: TaskKey) -> None:
-        """Report the refused runs of a task whose run has ended."""
-        for refused in self._refused.pop(task, ()):
-            refused.session.add_end(
-                refused.ref,
-                RunOutcome.REFUSED,
-                'task had another run',
-            )
+    def pop(self, task: TaskKey) -> list[_Refused]:
+        """Return the refused runs of a task whose run has ended.
+
+        Each comes with its entry; they are not kept any longer.
+        """
+        return self._refused.pop(task, [])
--- a/src/borageward/runs/sessionserver.py
+++ b/src/borageward/runs/sessionserver.py
@@ -101,7 +101,10 @@
         session = self._sessions.find(run.session)
         if session is not None:
             session.add_end(run.ref, outcome, detail)
-        self._refusals.report(run.ref.task)
+        for entry, ref in self._refusals.pop(run.ref.task):
+            refused = self._sessions.find(entry)
+            if refused is not None:
+                refused.add_end(ref, RunOutcome.REFUSED, 'task had another run')
         self.notify()
 
     async def serve(self, stream: trio.abc.Stream) -> None:
@@ -189,7 +192,7 @@
     ) -> None:
         refs = (
             *(run.ref for run in self._table.of_session(session.entry)),
-            *self._refusals.of_session(session),
+            *self._refusals.of_entry(session.entry),
         )
         link.post(
             SessionOpened(
@@ -271,7 +274,7 @@
             session,
         )
         if not self._table.add(run):
-            self._refusals.add(session, ref)
+            self._refusals.add(session.entry, ref)
             self._log.event(
                 'run_refused',
                 job=ref.task.job_id,
--- a/tests/runs/test_guard_runs.py
+++ b/tests/runs/test_guard_runs.py
@@ -679,3 +679,31 @@
         assert again.outcomes() == {(0, 1): 'refused'}
         assert entry.outcomes() == {(0, 1): 'done'}
         assert endpoint.starts == [ref(0)]
+
+
+async def test_refusal_outlives_the_session_in_which_it_was_ordered(
+    autojump_clock,
+):
+    """Guards against a task that starts elsewhere beside another entry's run.
+
+    The session of the second entry expires before its refusal is reported, and
+    a run that its next session does not list counts as lost.
+    """
+    async with running_guard(work_ms=9000) as (guard, _, entry, nursery):
+        second = await guard.connect('entry-2')
+        nursery.start_soon(second.run)
+        await second.open()
+        await entry.start(0)
+        await trio.sleep(0.1)
+        await second.start(0)
+        await trio.sleep(0.1)
+        second.frozen = True
+        await trio.sleep(4)
+        again = await guard.connect('entry-2')
+        nursery.start_soon(again.run)
+        await again.open(session=second.opened[0].session, attempt=1)
+        assert not again.opened[0].resumed
+        assert again.opened[0].refs == (ref(0),)
+        await entry.stop(ref(0))
+        await trio.sleep(0.5)
+        assert again.outcomes() == {(0, 1): 'refused'}
