--- a/tests/model/callers.py
+++ b/tests/model/callers.py
@@ -52,6 +52,8 @@
             exchange = entry.submit(request)
             with trio.move_on_after(request.deadline_ms / _MS_PER_SECOND + 1):
                 await exchange.finished.wait()
+            if not exchange.finished.is_set():
+                entry.break_exchange(exchange)
             outcome = exchange.outcome
             verdict = 'none' if outcome is None else outcome.verdict.value
             self._note(request, f'gets the answer {verdict}')
--- a/tests/model/entries.py
+++ b/tests/model/entries.py
@@ -129,14 +129,17 @@
 
     def break_exchanges(self, *, delay_s=_LATENCY_S, share=1.0, rng=None):
         """Break connections of callers; the entry notices after a delay."""
-        exchanges, self._exchanges = self._exchanges, []
-        for exchange in exchanges:
-            if rng is not None and rng.random() > share:
-                self._exchanges.append(exchange)
-                continue
-            exchange.finish()
-            if self.process.alive:
-                self._nursery.start_soon(self._notice, exchange, delay_s)
+        for exchange in tuple(self._exchanges):
+            if rng is None or rng.random() < share:
+                self.break_exchange(exchange, delay_s)
+
+    def break_exchange(self, exchange, delay_s=_LATENCY_S):
+        """Break the connection of one caller."""
+        if exchange in self._exchanges:
+            self._exchanges.remove(exchange)
+        exchange.finish()
+        if self.process.alive:
+            self._nursery.start_soon(self._notice, exchange, delay_s)
 
     async def _notice(self, exchange, delay_s):
         await trio.sleep(delay_s)
