--- a/tests/model/faults.py
+++ b/tests/model/faults.py
@@ -36,6 +36,8 @@
             self._kill_guard,
             self._restart_endpoint,
             self._leave_endpoint,
+            self._report_foreign_endpoint,
+            self._repeat_delete,
             self._late_calls,
             self._late_calls,
             self._late_calls,
@@ -268,6 +270,19 @@
         guard.new_endpoint()
         guard.report()
 
+    async def _report_foreign_endpoint(self):
+        """Let another writer report an endpoint that is not at this host."""
+        guard = self._rng.choice(self._guards)
+        self._note('foreign_report', guard=guard.name)
+        guard.report_foreign()
+
+    async def _repeat_delete(self):
+        """Send a DELETE in the name of an endpoint that works on."""
+        guard = self._rng.choice(self._guards)
+        if not guard.endpoint.down:
+            self._note('repeat_delete', endpoint=guard.endpoint.name)
+            guard.report_leaving()
+
     async def _late_calls(self):
         """Let calls of an endpoint be unanswered, lost or carried out late."""
         rng = self._rng
--- a/tests/model/guards.py
+++ b/tests/model/guards.py
@@ -62,6 +62,15 @@
             status = self.endpoint.report()
             self._tell(lambda: self._edge.report(status))
 
+    def report_foreign(self):
+        """Send the status of an endpoint that is not at this host."""
+        endpoint = self.endpoint
+        status = endpoint.status(
+            endpoint_id='foreign',
+            born_ms=endpoint.born_ms + 1,
+        )
+        self._tell(lambda: self._edge.report(status))
+
     def report_leaving(self):
         """Send the DELETE of the endpoint to the guard."""
         endpoint = self.endpoint
