--- /dev/null
+++ b/tests/model/test_scripts.py
@@ -0,0 +1,129 @@
+"""Named scenarios in which a task has had two runs at the same time."""
+
+from __future__ import annotations
+
+import trio
+
+from borageward.dispatch import JobRequest, StepSpec
+from borageward.messages.runs import Demand
+from tests.model.callers import RESEND_S
+from tests.model.entries import QUEUE
+from tests.model.world import run_script
+
+_WORK_MS = 6000
+_DEADLINE_MS = 9000
+
+
+def _request():
+    """Return a job whose tasks are spread over several endpoints."""
+    step = StepSpec(4, Demand(1000, 1000), _WORK_MS)
+    return JobRequest('job', str(_WORK_MS), (step,), QUEUE, _DEADLINE_MS)
+
+
+def _leave_stops_unanswered(world):
+    for guard in world.guards:
+        guard.endpoint.late = frozenset(('stop',))
+        guard.endpoint.late_share = 1.0
+
+
+def _paths(world, entry):
+    return [(entry.name, guard.name) for guard in world.guards]
+
+
+async def _repeat_at(entry):
+    await trio.sleep(RESEND_S)
+    entry.submit(_request())
+    await trio.sleep(0.5)
+
+
+def test_job_of_an_entry_without_power_is_repeated():
+    """Guards against a session and a lease that outlast the callers' pause.
+
+    Model seeds 25, 37 and others on 550ccbd: no link breaks when the entry
+    loses its power, and the endpoints leave the stops unanswered.
+    """
+
+    async def play(world):
+        first, second = world.entries
+        first.submit(_request())
+        await trio.sleep(1)
+        _leave_stops_unanswered(world)
+        first.lose_power()
+        first.break_exchanges()
+        await _repeat_at(second)
+
+    result = run_script(play)
+    assert result.starts
+    assert not result.breaches, str(result.breaches[0])
+
+
+def test_job_is_repeated_whose_stop_was_held_back():
+    """Guards against a whole lease that begins when a late stop arrives.
+
+    The entry is alive and stops the runs when it loses its caller, but a cut of
+    0.6 s holds back the stop along with its heartbeats.
+    """
+
+    async def play(world):
+        first, second = world.entries
+        first.submit(_request())
+        await trio.sleep(1)
+        _leave_stops_unanswered(world)
+        for path in _paths(world, first):
+            world.network.cut(path)
+        first.break_exchanges()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_repeat_at, second)
+            await trio.sleep(0.6)
+            for healed in _paths(world, first):
+                world.network.heal(healed)
+
+    result = run_script(play)
+    assert result.starts
+    assert not result.breaches, str(result.breaches[0])
+
+
+def test_job_of_an_entry_that_stood_still_is_repeated():
+    """Guards against a whole lease that begins when the entry wakes up.
+
+    The entry is frozen for 0.8 s and learns then that its caller has left.
+    """
+
+    async def play(world):
+        first, second = world.entries
+        first.submit(_request())
+        await trio.sleep(1)
+        _leave_stops_unanswered(world)
+        first.process.freeze(0.8)
+        first.break_exchanges()
+        await _repeat_at(second)
+
+    result = run_script(play)
+    assert result.starts
+    assert not result.breaches, str(result.breaches[0])
+
+
+def test_entry_returns_from_a_cut_whose_callers_have_left():
+    """Guards against an entry that starts a job again for a lost caller.
+
+    The entry is cut off from its callers too, and learns only some time after
+    the cut that their connections have broken.
+    """
+
+    async def play(world):
+        first, second = world.entries
+        first.submit(_request())
+        await trio.sleep(1)
+        paths = _paths(world, first)
+        paths += [(target, source) for source, target in paths]
+        for path in paths:
+            world.network.cut(path)
+        first.break_exchanges(delay_s=2)
+        await _repeat_at(second)
+        for healed in paths:
+            world.network.heal(healed)
+        await trio.sleep(0.5)
+
+    result = run_script(play)
+    assert result.starts
+    assert not result.breaches, str(result.breaches[0])
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -20,6 +20,8 @@
 _FAULTS_END_S = 9.0
 _END_S = 11.0
 _CALLERS = 6
+# Time in which the entries find the guards.
+_SETTLE_S = 0.5
 
 
 @attrs.frozen
@@ -35,59 +37,89 @@
     """Play the scenario of a seed in virtual time."""
     seed_task_order(seed)
     monitor = Monitor()
+    world = World(seed, monitor)
+    rng = world.make_rng('scenario')
     trio.run(
-        _Scenario(seed, monitor).run,
+        world.run,
+        rng.randint(2, 4),
+        rng.randint(3, 6),
+        _play_faults,
         clock=MockClock(autojump_threshold=0),
     )
     return Result(seed, tuple(monitor.breaches), monitor.starts)
 
 
-class _Scenario:
+def run_script(script, entries=2, guards=3):
+    """Play a scripted scenario, which is called with its world."""
+    seed_task_order(0)
+    monitor = Monitor()
+    world = World('script', monitor)
+    trio.run(
+        world.run,
+        entries,
+        guards,
+        script,
+        clock=MockClock(autojump_threshold=0),
+    )
+    return Result(0, tuple(monitor.breaches), monitor.starts)
+
+
+class World:
+    """Hosts of one scenario and the network between them."""
+
     def __init__(self, seed, monitor):
+        """Draw everything from generators that are named after the seed."""
+        self.monitor = monitor
+        self.network = Network(self.make_rng)
+        self.entries = []
+        self.guards = []
         self._seed = seed
-        self._monitor = monitor
-        self._network = Network(self._make_rng)
-
-    async def run(self):
-        """Run all hosts and faults until the end."""
-        rng = self._make_rng('scenario')
-        entries, guards = rng.randint(2, 4), rng.randint(3, 6)
-        with _patched_connections(self._network):
+
+    async def run(self, entry_count, guard_count, play):
+        """Run the hosts until ``play`` returns."""
+        with _patched_connections(self.network):
             async with trio.open_nursery() as nursery:
-                await self._run_hosts(nursery, entries, guards)
+                self._start_hosts(nursery, entry_count, guard_count)
+                await trio.sleep(_SETTLE_S)
+                await play(self)
                 nursery.cancel_scope.cancel()
 
-    async def _run_hosts(self, nursery, entry_count, guard_count):
+    def make_rng(self, name):
+        """Return a generator for a part of the scenario."""
+        return random.Random(f'{self._seed}/{name}')
+
+    def _start_hosts(self, nursery, entry_count, guard_count):
         names = [f'g{index + 1}' for index in range(guard_count)]
-        guards = [
-            GuardHost(name, self._monitor, self._make_rng, nursery)
+        self.guards = [
+            GuardHost(name, self.monitor, self.make_rng, nursery)
             for name in names
         ]
-        entries = [
-            EntryHost(number + 1, names, self._monitor, self._make_rng)
+        self.entries = [
+            EntryHost(number + 1, names, self.monitor, self.make_rng)
             for number in range(entry_count)
         ]
-        for host in (*guards, *entries):
-            self._network.hosts[host.name] = host
+        for host in (*self.guards, *self.entries):
+            self.network.hosts[host.name] = host
             nursery.start_soon(host.run)
-        await trio.sleep(0.5)
-        callers = Callers(
-            entries, self._monitor, self._make_rng('callers'), _END_S
-        )
+
+
+async def _play_faults(world):
+    callers = Callers(
+        world.entries, world.monitor, world.make_rng('callers'), _END_S
+    )
+    faults = Faults(
+        world.entries,
+        world.guards,
+        world.network,
+        world.monitor,
+        world.make_rng('faults'),
+    )
+    async with trio.open_nursery() as nursery:
         for _ in range(_CALLERS):
             nursery.start_soon(callers.run)
-        faults = Faults(
-            entries,
-            guards,
-            self._network,
-            self._monitor,
-            self._make_rng('faults'),
-        )
         nursery.start_soon(faults.run, _FAULTS_END_S)
-        await trio.sleep_until(trio.current_time() + _END_S)
-
-    def _make_rng(self, name):
-        return random.Random(f'{self._seed}/{name}')
+        await trio.sleep(_END_S)
+        nursery.cancel_scope.cancel()
 
 
 @contextlib.contextmanager
