--- /dev/null
+++ b/tests/model/test_twice.py
@@ -0,0 +1,21 @@
+"""Drawn scenarios in which no task may have two runs at the same time."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.model.world import run_seed
+
+# More seeds are played by hand with ``python -m tests.model FIRST COUNT``.
+_SEEDS = tuple(range(1, 13))
+
+
+@pytest.mark.parametrize('seed', _SEEDS)
+def test_no_task_has_two_runs_at_the_same_time(seed):
+    """Guards against a run that goes on while its task starts elsewhere.
+
+    Entries, guards, endpoints and the paths between them fail together.
+    """
+    result = run_seed(seed)
+    assert result.starts
+    assert not result.breaches, str(result.breaches[0])
