--- a/tests/model/__main__.py
+++ b/tests/model/__main__.py
@@ -20,12 +20,16 @@
     parser.add_argument('first', type=int)
     parser.add_argument('count', type=int)
     parser.add_argument('--trace', action='store_true')
+    parser.add_argument('--no-late-notices', action='store_true')
     options = parser.parse_args()
     began = time.monotonic()
     failed = []
     starts = 0
     for seed in range(options.first, options.first + options.count):
-        result = run_seed(seed)
+        result = run_seed(
+            seed,
+            late_notices=not options.no_late_notices,
+        )
         starts += result.starts
         if result.breaches:
             failed.append(seed)
--- a/tests/model/faults.py
+++ b/tests/model/faults.py
@@ -10,8 +10,23 @@
 class Faults:
     """Applies pairs of faults: one at entries, others at guards."""
 
-    def __init__(self, entries, guards, network, monitor, rng):
-        """Draw the hosts, kinds, times and durations from ``rng``."""
+    def __init__(
+        self,
+        entries,
+        guards,
+        network,
+        monitor,
+        rng,
+        *,
+        late_notices=True,
+    ):
+        """Draw the hosts, kinds, times and durations from ``rng``.
+
+        Without ``late_notices`` an entry that was cut off from its callers
+        notices their broken connections at the end of the cut, and otherwise
+        up to 250 ms later.
+        """
+        self._late_notices = late_notices
         self._entries = entries
         self._guards = guards
         self._network = network
@@ -176,7 +191,8 @@
         delay_s = 0.001
         is_cut_off = len(guards) == len(self._guards)
         if is_cut_off and self._chance(0.5):
-            delay_s = cut_s + self._rng.uniform(0, 0.25)
+            resend_s = self._rng.uniform(0, 0.25)
+            delay_s = cut_s + (resend_s if self._late_notices else 0)
         self._note(
             'break_callers',
             entry=entry.name,
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import random
 
 import attrs
@@ -33,7 +34,7 @@
     starts: int
 
 
-def run_seed(seed):
+def run_seed(seed, *, late_notices=True):
     """Play the scenario of a seed in virtual time."""
     seed_task_order(seed)
     monitor = Monitor()
@@ -43,7 +44,7 @@
         world.run,
         rng.randint(2, 4),
         rng.randint(3, 6),
-        _play_faults,
+        functools.partial(_play_faults, late_notices=late_notices),
         clock=MockClock(autojump_threshold=0),
     )
     return Result(seed, tuple(monitor.breaches), monitor.starts)
@@ -103,7 +104,7 @@
             nursery.start_soon(host.run)
 
 
-async def _play_faults(world):
+async def _play_faults(world, *, late_notices):
     callers = Callers(
         world.entries, world.monitor, world.make_rng('callers'), _END_S
     )
@@ -113,6 +114,7 @@
         world.network,
         world.monitor,
         world.make_rng('faults'),
+        late_notices=late_notices,
     )
     async with trio.open_nursery() as nursery:
         for _ in range(_CALLERS):
