--- a/tests/model/test_twice.py
+++ b/tests/model/test_twice.py
@@ -7,7 +7,7 @@
 from tests.model.world import run_seed
 
 # More seeds are played by hand with ``python -m tests.model FIRST COUNT``.
-_SEEDS = tuple(range(1, 13))
+_SEEDS = tuple(range(1, 21))
 
 
 @pytest.mark.parametrize('seed', _SEEDS)
