--- a/tests/model/__init__.py
+++ b/tests/model/__init__.py
@@ -2,6 +2,6 @@
 
 The entries and guards run the code of ``borageward.dispatch`` and
 ``borageward.runs``. The network, the endpoints and the callers are models. CI
-plays some seeds; ``PYTHONPATH=src:platform:. python -m tests.model FIRST COUNT``
-plays others, and prints the events of a task with ``--trace``.
+plays some seeds. With the paths of ``scripts/test``, others are played by
+``python -m tests.model FIRST COUNT``, which prints events with ``--trace``.
 """
