Answer operators and endpoints that close their side with the request

Change: only the server for callers, whose departure counts, looks for the end of the connection before it calls the handler.

--- a/src/borageward/http/server.py
+++ b/src/borageward/http/server.py
@@ -29,10 +29,17 @@
         address: Address,
         handler: HttpHandler,
         limits: HttpLimits | None = None,
+        *,
+        skips_departed: bool = False,
     ) -> None:
-        """Prepare a server; port 0 lets the operating system choose one."""
+        """Prepare a server; port 0 lets the operating system choose one.
+
+        With ``skips_departed`` the handler is not called for a client that has
+        closed its side of the connection before its request is read.
+        """
         self._handler = handler
         self._limits = limits or HttpLimits()
+        self._skips_departed = skips_departed
         self._listener = FrameListener(address, self._serve_connection)
         self._draining = False
         self._connections = 0
@@ -102,7 +109,7 @@
         if isinstance(request, RequestRefused):
             await connection.send(HttpResponse(request.status), last=True)
             return False
-        if await connection.has_client_left():
+        if self._skips_departed and await connection.has_client_left():
             return False
         self._requests += 1
         try:
--- a/src/borageward/policy/run_authority.py
+++ b/src/borageward/policy/run_authority.py
@@ -41,9 +41,13 @@
     def run_limit_ms(self) -> Milliseconds:
         """Return the time after the newest echo by which every run has ended.
 
-        No lease that a run holds ends later, unless its stop is confirmed.
+        No lease that a run holds ends later, unless its stop is confirmed. The
+        run is stopped after the session timeout and goes on for a lease at most.
         """
-        return self.repeat_ms - _REPEAT_MARGIN_MS
+        return min(
+            self.repeat_ms - _REPEAT_MARGIN_MS,
+            _MAX_SESSION_TIMEOUT_MS + _MAX_LEASE_MS,
+        )
 
     @property
     def session_timeout_ms(self) -> Milliseconds:
--- a/tests/http/test_departed_clients.py
+++ b/tests/http/test_departed_clients.py
@@ -34,7 +34,7 @@
     connection, and may have repeated the request at another server. The second
     request shows that the first one has been read.
     """
-    async with serving() as (handler, server):
+    async with serving(skips_departed=True) as (handler, server):
         send_and_leave(server, GET.replace(b'/x', b'/left'))
         await settled()
         stream = await connect(server)
@@ -70,3 +70,16 @@
         await settled()
         assert handler.requests
         assert handler.cancelled.is_set()
+
+
+async def test_request_before_a_half_close_is_answered():
+    """Guards against operators and endpoints that get no answer.
+
+    They may close their side of the connection with their request.
+    """
+    async with serving() as (handler, server):
+        handler.release.set()
+        stream = await connect(server)
+        await stream.send_all(GET)
+        await stream.send_eof()
+        assert (await stream.receive_some()).startswith(b'HTTP/1.1 200')
