--- a/tests/policy/test_run_authority.py
+++ b/tests/policy/test_run_authority.py
@@ -29,3 +29,14 @@
     """Guards against limits that leave no time to stop a run."""
     with pytest.raises(ValueError, match='repeat_ms'):
         AuthorityLimits(800)
+
+
+@pytest.mark.parametrize('repeat_ms', [1900, 3000, 10_000])
+def test_runs_of_a_silent_entry_are_not_believed_alive_for_longer(repeat_ms):
+    """Guards against an entry that waits for runs that ended long ago.
+
+    The runs of a silent entry are revoked at the session timeout and end a
+    lease later, however long callers wait.
+    """
+    limits = AuthorityLimits(repeat_ms)
+    assert limits.run_limit_ms <= limits.session_timeout_ms + limits.lease_ms
