Apply a settlement to no newer attempt of its task

What callers saw, on the product's own interface: a task that is idempotent may run twice at the same time. A guard that leaves the subset of an entry and returns within a round trip gets two requests to settle the same attempt. The first reply that it did not run has the task started again at that guard; the second one was applied to the new attempt and had it started at another guard beside it.

Cause: the reply did not name the attempt of its request.

Change: Settled carries the attempt of the request, and a report of NOT_RUN says nothing of a newer one. A guard of the release before sends none; then all is as before.

--- a/src/borageward/entry/settlement.py
+++ b/src/borageward/entry/settlement.py
@@ -185,11 +185,16 @@
         self._handle_not_run(link, job, task, Failure(FailureReason.WITHDRAWN))
 
     def apply_report(
-        self, link: GuardLink, job: Job, report: TaskReport
+        self,
+        link: GuardLink,
+        job: Job,
+        report: TaskReport,
+        attempt: int = 0,
     ) -> None:
         """Apply the state of one task, reported in a ``Settled`` message.
 
-        A queued or running task stays open until its result arrives.
+        A queued or running task stays open until its result arrives. A report
+        that an earlier ``attempt`` did not run says nothing of a newer one.
         """
         task = job.tasks[report.index]
         if report.phase is TaskPhase.FINISHED and report.outcome is not None:
@@ -197,6 +202,8 @@
             self._log_received_results(link, (finished,))
             self._handle_finished(link, finished)
         elif report.phase is TaskPhase.NOT_RUN and _placed_at(task, link):
+            if attempt and task.attempt > attempt:
+                return
             self._handle_not_run(
                 link, job, task, Failure(FailureReason.WITHDRAWN)
             )
@@ -258,7 +265,7 @@
             return
         for report in message.reports:
             if 0 <= report.index < len(job.tasks):
-                self.apply_report(link, job, report)
+                self.apply_report(link, job, report, message.attempt)
 
     def _handle_not_run(
         self,
--- a/src/borageward/guard/settlement.py
+++ b/src/borageward/guard/settlement.py
@@ -129,6 +129,7 @@
                 self._state.incarnation,
                 tuple(reports),
                 self._state.load(),
+                message.attempt,
             ),
         )
 
--- a/src/borageward/messages/guard.py
+++ b/src/borageward/messages/guard.py
@@ -102,12 +102,17 @@
 
 
 class Settled(Message, frozen=True):
-    """Reply to ``Settle`` or ``Withdraw`` with the phase of each task."""
+    """Reply to ``Settle`` or ``Withdraw`` with the phase of each task.
+
+    ``attempt`` is that of the request, to which a phase ``NOT_RUN`` applies. It
+    is zero in the reply of a guard of an earlier release.
+    """
 
     job_id: bytes
     guard_incarnation: int
     reports: tuple[TaskReport, ...]
     load: GuardLoad
+    attempt: int = 0
 
 
 class Fence(Message, frozen=True):
--- a/tests/entry/fake_guard.py
+++ b/tests/entry/fake_guard.py
@@ -251,7 +251,7 @@
             if task is not None:
                 task.link = link
             reports.append(self._report(message, key, task))
-        await self._settled(link, message.job_id, reports)
+        await self._settled(link, message, reports)
 
     async def _Withdraw(self, link, message):
         reports = [
@@ -263,7 +263,7 @@
             )
             for index in message.indexes
         ]
-        await self._settled(link, message.job_id, reports)
+        await self._settled(link, message, reports)
 
     def _report(self, message, key, task, withdraw=False):
         withdraw = withdraw or getattr(message, 'withdraw_queued', False)
@@ -277,14 +277,15 @@
             return TaskReport(key[1], TaskPhase.NOT_RUN)
         return TaskReport(key[1], task.phase, task.outcome)
 
-    async def _settled(self, link, job_id, reports):
+    async def _settled(self, link, message, reports):
         await self._send(
             link,
             msg.Settled(
-                job_id,
+                message.job_id,
                 self.incarnation,
                 tuple(reports),
                 self._load(),
+                message.attempt,
             ),
         )
 
