Keep no room for a run that waits for a newer echo

Change: such a run waits without room; it starts when its entry echoes a newer state and there is room.

--- a/src/borageward/runs/admission.py
+++ b/src/borageward/runs/admission.py
@@ -73,7 +73,8 @@
         """Return the waiting runs to start, by rank until one does not fit.
 
         While a stop without a confirmation limits the lease, none starts. A
-        run waits for its own turn if its entry has echoed no recent state.
+        run whose entry has echoed no recent state waits and keeps no room: the
+        echoes of a slow entry may all be too old.
         """
         now_ms = self._clock.now_ms()
         if now_ms < self._no_room_until_ms:
@@ -86,8 +87,8 @@
         for run in self._table.waiting():
             if not run.demand.fits(room):
                 break
-            room = room.minus(run.demand)
             if self._may_take_lease(run, now_ms):
+                room = room.minus(run.demand)
                 startable.append(run)
         return startable
 
