--- a/tests/dispatch/test_echo_of_departed_callers.py
+++ b/tests/dispatch/test_echo_of_departed_callers.py
@@ -49,8 +49,9 @@
 
 
 async def wait_until_left(stream, scope):
-    while await stream.receive_some(1):
-        continue
+    chunk = await stream.receive_some(1)
+    while chunk:
+        chunk = await stream.receive_some(1)
     scope.cancel()
 
 
@@ -87,10 +88,7 @@
         send_at_once(guard)
         far.close()
         await trio.sleep(0.03)
-        kinds = [
-            {type(message) for message in batch}
-            for batch in writes
-        ]
+        kinds = [{type(message) for message in batch} for batch in writes]
         assert any(StopRuns in kind for kind in kinds)
         stop_at = next(i for i, kind in enumerate(kinds) if StopRuns in kind)
         first_echoes += any(
