--- a/src/borageward/dispatch/guardlink.py
+++ b/src/borageward/dispatch/guardlink.py
@@ -9,6 +9,7 @@
 import trio
 
 from borageward.clock import Clock, Milliseconds
+from borageward.dispatch.checkedstamps import CheckedStamps
 from borageward.dispatch.orders import EndHandler, OutstandingRuns
 from borageward.failures import Failure
 from borageward.messages.runs import (
@@ -40,10 +41,8 @@
 _ORDER_ANSWER_MS = 250.0
 _CONNECT_TIMEOUT_MS = 500.0
 _RECONNECT_DELAY_MS = 60.0
-# Time from the last heartbeat until no run of the session can still be running:
-# 900 ms until the guard expires the session, 900 ms until the endpoint's lease
-# expires on a clock that may be 2% slow, and the rest for stopping the runs.
-AUTHORITY_TIMEOUT_MS = 2150.0
+# Added to the time after which the guard has ended the runs of a silent entry.
+_RUN_LIMIT_MARGIN_MS = 100.0
 _MS_PER_SECOND = 1000.0
 
 
@@ -88,6 +87,9 @@
         self._posted = trio.Event()
         self._last_received_ms: Milliseconds = 0
         self._last_renewal_ms: Milliseconds = 0
+        self._stamps = CheckedStamps()
+        # Time after the last heartbeat by which all runs have ended.
+        self._run_limit_ms: Milliseconds = math.inf
 
     @property
     def name(self) -> str:
@@ -163,8 +165,8 @@
         The request is repeated whenever the session is opened again.
         """
         if refs:
-            self._runs.mark_stopping(refs)
-            self._post(StopRuns(tuple(refs)))
+            caller_ms = self._runs.mark_stopping(refs, self._stamps.noticed_ms)
+            self._post(StopRuns(tuple(refs), caller_ms))
 
     async def run(self) -> None:
         """Keep the session open until cancelled."""
@@ -178,13 +180,15 @@
         Has to be called at intervals.
         """
         now_ms = self._clock.now_ms()
+        if self._state is not None:
+            self._stamps.record(now_ms, self._state.stamp_ms)
         timeout_ms = (
             _SILENCE_TIMEOUT_MS if self._runs else _IDLE_SILENCE_TIMEOUT_MS
         )
         if now_ms - self._last_received_ms > timeout_ms:
             self._exchange_scope.cancel()
         elapsed_ms = now_ms - self._last_renewal_ms
-        if not self._opened and elapsed_ms > AUTHORITY_TIMEOUT_MS:
+        if not self._opened and elapsed_ms > self._run_limit_ms:
             self._runs.expire()
 
     async def _run_connection(self) -> None:
@@ -238,8 +242,10 @@
     async def _write(self, connection: FrameConnection[GuardMessage]) -> None:
         while True:
             await self._posted.wait()
+            await _handle_pending_events()
             self._posted = trio.Event()
-            outgoing = self._outgoing
+            # A stop must not find a lease that an echo beside it has extended.
+            outgoing = sorted(self._outgoing, key=_is_heartbeat)
             self._outgoing = []
             try:
                 await connection.send_all(outgoing)
@@ -267,6 +273,7 @@
     def _handle_opened(self, message: SessionOpened) -> None:
         self._unanswered_since_ms = math.inf
         self._echoed_ms = -math.inf
+        self._run_limit_ms = message.run_limit_ms + _RUN_LIMIT_MARGIN_MS
         self.stop(self._runs.reconcile(message))
         self._log.event(
             'guard_found',
@@ -277,6 +284,7 @@
 
     def _handle_state(self, state: EndpointState) -> None:
         self._state = state
+        self._stamps.begin(self._clock.now_ms(), state.stamp_ms)
         self._opened = True
         if self._runs.is_answered(state):
             self._unanswered_since_ms = math.inf
@@ -293,6 +301,20 @@
         self._post(SessionHeartbeat(state.stamp_ms, self._runs.seen_end))
 
 
+async def _handle_pending_events() -> None:
+    """Let the events that are known to the event loop be handled.
+
+    A process that stood still finds states of guards and departures of callers
+    together. It takes two passes until a departure leads to a stop.
+    """
+    await trio.lowlevel.checkpoint()
+    await trio.lowlevel.checkpoint()
+
+
+def _is_heartbeat(message: EntryMessage) -> bool:
+    return isinstance(message, SessionHeartbeat)
+
+
 async def _connect(address: Address) -> FrameConnection[GuardMessage] | None:
     with trio.move_on_after(_CONNECT_TIMEOUT_MS / _MS_PER_SECOND):
         try:
--- a/src/borageward/http/serverconnection.py
+++ b/src/borageward/http/serverconnection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import attrs
 import h11
 import trio
@@ -15,6 +17,8 @@
 _TOO_LARGE = 413
 # Disconnects a client that does not read its response.
 _SEND_TIMEOUT_S = 5.0
+# Data that a client may send before it has the response to its request.
+_MAX_EARLY_BYTES = 65_536
 
 _CONNECTION_ERRORS = (
     OSError,
@@ -96,20 +100,39 @@
         except _SEND_ERRORS as error:
             raise ConnectionEnded from error
 
-    async def wait_until_disconnected(self) -> bool:
-        """Return true once the client disconnects, false if it sends data.
+    async def has_client_left(self) -> bool:
+        """Return whether the client is known to have disconnected already.
 
-        Such data is kept as the start of the next request.
+        A process that stood still reads a request although its client has left
+        since. A connection with TLS counts as open, and so does one on which
+        further data has arrived.
         """
-        if self._protocol.trailing_data[0]:
+        stream = self._stream
+        if not isinstance(stream, trio.SocketStream):
+            return False
+        if not stream.socket.is_readable():
             return False
         try:
-            chunk = await self._stream.receive_some(_READ_BYTES)
+            peeked = await stream.socket.recv(1, socket.MSG_PEEK)
         except _CONNECTION_ERRORS:
             return True
-        if not chunk:
-            return True
-        self._protocol.receive_data(bytes(chunk))
+        return not peeked
+
+    async def wait_until_disconnected(self) -> bool:
+        """Return true once the client disconnects.
+
+        Data of the client is kept as the start of the next request. Returns
+        false when the client has sent more than ``_MAX_EARLY_BYTES`` of it:
+        its end can then be noticed only with the next request.
+        """
+        while len(self._protocol.trailing_data[0]) <= _MAX_EARLY_BYTES:
+            try:
+                chunk = await self._stream.receive_some(_READ_BYTES)
+            except _CONNECTION_ERRORS:
+                return True
+            if not chunk:
+                return True
+            self._protocol.receive_data(bytes(chunk))
         return False
 
     async def close(self) -> None:
--- a/src/borageward/messages/runs.py
+++ b/src/borageward/messages/runs.py
@@ -141,10 +141,14 @@
 class StopRuns(Message, frozen=True):
     """Stop running and withdraw waiting runs.
 
-    Their ends are reported by ``RunsEnded``, like all others.
+    Their ends are reported by ``RunsEnded``, like all others. ``caller_ms`` is
+    a time stamp of the guard that the entry received while the runs still had
+    their caller: no heartbeat after it extends their authority. Zero if there
+    is none.
     """
 
     refs: tuple[RunRef, ...]
+    caller_ms: float = 0
 
 
 class SessionHeartbeat(Message, frozen=True, tag='SessionBeat'):
@@ -164,13 +168,16 @@
 
     ``guard`` identifies the process of the guard and ``session`` the session,
     within which ends are numbered. ``resumed`` is false when it is not the
-    session that the entry named.
+    session that the entry named. ``run_limit_ms`` is the time after a heartbeat
+    by which the runs of the session have ended if no other follows; a guard of
+    an earlier release does not send it.
     """
 
     guard: str
     resumed: bool
     refs: tuple[RunRef, ...]
     session: str = ''
+    run_limit_ms: float = 2050.0
 
 
 class EndpointState(Message, frozen=True):
--- a/src/borageward/runs/sessionserver.py
+++ b/src/borageward/runs/sessionserver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import secrets
 
 import trio
@@ -24,7 +25,6 @@
 from borageward.runs.link import EntryLink
 from borageward.runs.refusals import PendingRefusals
 from borageward.runs.sessions import (
-    SESSION_TIMEOUT_MS,
     UNLINKED_TIMEOUT_MS,
     Session,
     SessionLink,
@@ -59,7 +59,7 @@
         self._clock = clock
         self._log = log
         self._guard = secrets.token_hex(_NONCE_BYTES)
-        self._sessions = SessionTable(clock)
+        self._sessions = SessionTable(clock, table.limits)
         self._states = EndpointStates(table, self._sessions, clock)
         self._by_link: dict[EntryLink, Session] = {}
         self._refusals = PendingRefusals()
@@ -102,7 +102,10 @@
         session = self._sessions.find(run.session)
         if session is not None:
             session.add_end(run.ref, outcome, detail)
-        self._refusals.report(run.ref.task)
+        for entry, ref in self._refusals.pop(run.ref.task):
+            refused = self._sessions.find(entry)
+            if refused is not None:
+                refused.add_end(ref, RunOutcome.REFUSED, 'task had another run')
         self.notify()
 
     async def serve(self, stream: trio.abc.Stream) -> None:
@@ -190,10 +193,16 @@
     ) -> None:
         refs = (
             *(run.ref for run in self._table.of_session(session.entry)),
-            *self._refusals.of_session(session),
+            *self._refusals.of_entry(session.entry),
         )
         link.post(
-            SessionOpened(self._guard, resumed, refs, session.session_id),
+            SessionOpened(
+                self._guard,
+                resumed,
+                refs,
+                session.session_id,
+                session.limits.run_limit_ms,
+            ),
         )
         self._log.event(
             'session_opened',
@@ -216,11 +225,25 @@
         elif isinstance(message, SessionHeartbeat):
             session.extend(message.echoed_ms)
             session.acknowledge(message.seen_end)
+            if self._table.has_waiting(session.entry):
+                self._admit()
+
+    def _admit(self) -> None:
+        supervisor = self._supervisor()
+        if supervisor is not None:
+            supervisor.admit()
 
     def _handle_starts(self, session: Session, message: StartRuns) -> None:
         session.last_order = message.order
         session.extend(message.echoed_ms)
-        refusal_detail = self._refusal_detail(message)
+        timeout_ms = self._table.limits.session_timeout_ms
+        refusal_detail = ''
+        if message.echoed_ms < self._clock.now_ms() - timeout_ms:
+            refusal_detail = (
+                'start request was delayed beyond the session timeout'
+            )
+        elif self._supervisor() is None:
+            refusal_detail = 'no endpoint has reported to this guard'
         for index, number in message.starts:
             task = TaskKey(
                 message.job_id,
@@ -233,20 +256,9 @@
                 session.add_end(ref, RunOutcome.REFUSED, refusal_detail)
             else:
                 self._add_run(session, message, ref)
-        supervisor = self._supervisor()
-        if supervisor is not None:
-            supervisor.admit()
+        self._admit()
         self.notify()
 
-    def _refusal_detail(self, message: StartRuns) -> str:
-        """Return why a whole start request is refused, or an empty string."""
-        oldest_ms = self._clock.now_ms() - SESSION_TIMEOUT_MS
-        if message.echoed_ms < oldest_ms:
-            return 'start request was delayed beyond the session timeout'
-        if self._supervisor() is None:
-            return 'no endpoint has reported to this guard'
-        return ''
-
     def _add_run(
         self,
         session: Session,
@@ -263,7 +275,7 @@
             session,
         )
         if not self._table.add(run):
-            self._refusals.add(session, ref)
+            self._refusals.add(session.entry, ref)
             self._log.event(
                 'run_refused',
                 job=ref.task.job_id,
@@ -276,9 +288,13 @@
         supervisor = self._supervisor()
         if supervisor is None:
             return
+        limit_ms = math.inf
+        if message.caller_ms:
+            limit_ms = message.caller_ms + self._table.limits.run_limit_ms
         for ref in message.refs:
             run = self._table.find(ref)
             if run is not None and run.session == session.entry:
+                run.limit_ms = min(run.limit_ms, limit_ms)
                 supervisor.revoke(run, self._clock.now_ms())
 
     async def _expire_sessions(self) -> None:
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -242,7 +242,16 @@
             'A job was refused because it would have to wait too long; `room` '
             'is the free CPU of the `endpoints` that accept runs.',
         ),
-        'job_cancelled': _info('job', 'A caller cancelled a job.'),
+        'job_cancelled': _info(
+            'job, origin',
+            'A job was cancelled; `origin` is `caller`, or the control replica '
+            'that handed on a cancellation from another entry.',
+        ),
+        'cancellation_reported': _info(
+            'job, result, took_ms',
+            'A caller cancelled a job that is not in progress here; `result` '
+            'is `reported` if the control replicas hand that on, or `unknown`.',
+        ),
         'job_ended': _info(
             'job, verdict, reason, took_ms, goal_ms, guards',
             'A job ended; `guards` lists where each task ran last.',
@@ -337,6 +346,14 @@
             'job, task, percent',
             'A run made no progress for too long and is stopped.',
         ),
+        'run_revoked': _info(
+            'job, task, run, entry, state',
+            'A run lost its authority and is stopped.',
+        ),
+        'revoked_run_ended': _info(
+            'job, task, run, detail, after_ms',
+            'A run without authority has ended, this long after it lost it.',
+        ),
         'orphan_stopped': _info(
             'job, run',
             'A run that no session of this guard requested is stopped.',
