--- a/tests/model/test_scripts.py
+++ b/tests/model/test_scripts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import attrs
+import pytest
 import trio
 
 from borageward.dispatch import JobRequest, StepSpec
@@ -33,6 +35,16 @@
     return [(entry.name, guard.name) for guard in world.guards]
 
 
+async def _submit_short_jobs(entry):
+    """Let the state of the endpoints change all the time."""
+    number = 0
+    while True:
+        number += 1
+        job_id = f'short{number}'
+        entry.submit(attrs.evolve(_request(), job_id=job_id, spec='60'))
+        await trio.sleep(0.04)
+
+
 async def _repeat_at(entry):
     await trio.sleep(RESEND_S)
     entry.submit(_request())
@@ -131,3 +143,38 @@
     result = run_script(play, guards=6)
     assert result.starts
     assert not result.breaches, str(result.breaches[0])
+
+
+@pytest.mark.parametrize(
+    ('delay_s', 'cut_s'), [(0.15, 0.8), (0.2, 0.75), (0.2, 0.8)]
+)
+def test_order_is_held_back_until_its_session_has_expired(delay_s, cut_s):
+    """Guards against an order that outlives its session.
+
+    The entry opens a new session before the order arrives on its former link,
+    learns that the run is not there and orders another one.
+    """
+
+    async def play(world):
+        first, second = world.entries
+        paths = _paths(world, first)
+        paths += [(target, source) for source, target in paths]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_submit_short_jobs, second)
+            for number in range(3):
+                job_id = f'other{number}'
+                first.submit(attrs.evolve(_request(), job_id=job_id))
+            await trio.sleep(1 + delay_s)
+            for path in paths:
+                world.network.cut(path)
+            await trio.sleep(0.1)
+            first.submit(_request())
+            await trio.sleep(cut_s - 0.1)
+            for healed in paths:
+                world.network.heal(healed)
+            await trio.sleep(1)
+            nursery.cancel_scope.cancel()
+
+    result = run_script(play, guards=6)
+    assert result.starts
+    assert not result.breaches, str(result.breaches[0])
