Let tests of the commands wait for replies of a stalled machine

Single tests took 8 to 12 s in the first run after a pause and 0.1 to 0.4 s in the next two at the same load, so the process stalled and the stub answered late; the code under test had not changed.

Cause: these tests use real connections and the product's real time-outs, so that their verdict depended on the speed of the machine.

Change: the fixture raises the time-outs to 60 s.

--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -12,7 +12,7 @@
 import pytest
 import trio
 
-from borageward.cli import changes, reading
+from borageward.cli import changes, controlcalls, reading
 from borageward.cli.exits import ExitCode, exit_code
 from borageward.cli.main import main
 from borageward.cli.target import Target
@@ -20,6 +20,7 @@
     encode_configuration,
     initial_configuration,
 )
+from borageward.controlclient import client
 from borageward.failures import Failure, FailureReason
 from borageward.language import AnswerFormat, parse_sentence
 from borageward.messages import control
@@ -86,8 +87,15 @@
         return outcome
 
 
+# The tests check what is sent and answered, not how soon. A machine that stalls
+# for seconds let calls time out and be sent again.
+_LONG_TIMEOUT_MS = 60_000.0
+
+
 @pytest.fixture(name='replica')
-async def _replica():
+async def _replica(monkeypatch):
+    monkeypatch.setattr(controlcalls, '_CALL_TIMEOUT_MS', _LONG_TIMEOUT_MS)
+    monkeypatch.setattr(client, '_ATTEMPT_TIMEOUT_MS', _LONG_TIMEOUT_MS)
     replica = _FakeControl()
     server = GrpcServer(_LOOPBACK, replica.serve, control.ControlRequest)
     await server.start()
