Log that a process stood still or its host was suspended

The logs of a play cannot tell a frozen process from a suspended host, whose steady clock stands still too (DEPLOY.md, Clocks).

--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -104,6 +104,11 @@
             '', 'Shutdown has begun; requests already accepted are finished.'
         ),
         'process_stopped': _info('', 'All roles of the process are closed.'),
+        'process_stalled': _warning(
+            'stalled_ms, suspended_ms',
+            'The process did not run for this long; `suspended_ms` of it the '
+            'host was suspended.',
+        ),
         'entry_draining': _info(
             '', 'The entry accepts no new jobs and answers the open ones.'
         ),
