--- a/tests/model/network.py
+++ b/tests/model/network.py
@@ -20,6 +20,8 @@
         """Carry chunks along ``path``, the names of sender and receiver."""
         self.path = path
         self.broken = False
+        # What is sent from now on is lost, and nobody learns of it.
+        self.silent = False
         self.changed = trio.Event()
         self._network = network
         self._rng = rng
@@ -65,7 +67,7 @@
                 await self.changed.wait()
 
     def _wait_s(self):
-        if not self._chunks or self._network.is_cut(self.path):
+        if self.silent or not self._chunks or self._network.is_cut(self.path):
             return float('inf')
         return self._chunks[0][0] - trio.current_time()
 
@@ -171,6 +173,11 @@
             for pipe in self._between(path):
                 pipe.break_now()
 
+    def silence(self):
+        """Let all open connections carry nothing any more, without a reset."""
+        for pipe in self._pipes:
+            pipe.silent = True
+
     async def connect(self, source, target):
         """Open a connection; raise ``OSError`` if nobody listens."""
         client = self.hosts[source].process
