Remove only the run that has ended from the table

Found by reading: a guard that finds the end of a run twice drops the next run of the same task, which works on without a guard.

Cause: the table removed runs by their task. The reply to a start was handled after a list had ended the run, and a refusal then ended whatever run of the task was there. An endpoint that keeps the protocol does not refuse a start that it has carried out, so this is a safeguard.

Change: the table removes a run only while it holds that run, and an end that was found before is not reported again.

Result: test_late_start_reply_ends_no_other_run_of_the_task failed before (two ends of run 1, none of run 2); tests/runs and tests/dispatch pass.

--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -193,8 +193,9 @@
         self._stop_stalled()
 
     def end(self, run: Run, outcome: RunOutcome, detail: str) -> None:
-        """Remove a run from the table and report its end."""
-        self._table.remove(run)
+        """Remove a run from the table and report its end, but only once."""
+        if not self._table.remove(run):
+            return
         self._log.debug(
             'run_ended',
             job=run.ref.task.job_id,
--- a/src/borageward/runs/table.py
+++ b/src/borageward/runs/table.py
@@ -133,9 +133,15 @@
             return None
         return run
 
-    def remove(self, run: Run) -> None:
-        """Remove the run of a task, if there is one."""
-        self._runs.pop(run.ref.task, None)
+    def remove(self, run: Run) -> bool:
+        """Remove a run; return false if it has been removed before.
+
+        Its task may have another run by then, which is kept.
+        """
+        if self.find(run.ref) is not run:
+            return False
+        self._runs.pop(run.ref.task)
+        return True
 
     def of_session(self, session: str) -> list[Run]:
         """Return the runs of a session."""
--- /dev/null
+++ b/tests/runs/test_ended_runs.py
@@ -0,0 +1,46 @@
+"""Runs whose end is found twice, and lists that overtake each other."""
+
+from __future__ import annotations
+
+import trio
+
+from borageward.clock import SystemClock
+from borageward.runs.port import StartReply
+from standins.endpoint import EndpointStandIn
+from tests.runs.guardharness import ref
+from tests.runs.test_time_lines import open_guard
+
+# The reply to the first start arrives this long after the start.
+LATE_S = 0.05
+
+
+class LateRefusal(EndpointStandIn):
+    """Endpoint whose first start runs, and is refused when it has ended."""
+
+    async def start(self, request, timeout_ms):
+        """Return the reply; that to the first start comes late."""
+        reply = await super().start(request, timeout_ms)
+        if request.ref != ref(0):
+            return reply
+        await trio.sleep(LATE_S)
+        return StartReply.OUTRUN
+
+
+async def test_late_start_reply_ends_no_other_run_of_the_task(autojump_clock):
+    """Guards against a run that works on although the guard has dropped it.
+
+    A list has ended the first run of the task before the reply to its start
+    arrives, and the entry has ordered the next one here.
+    """
+    endpoint = LateRefusal(SystemClock(), work_ms=10)
+    async with trio.open_nursery() as nursery:
+        entry = await open_guard(endpoint, nursery)
+        await entry.start(0)
+        while not entry.ends:
+            await trio.sleep(0.001)
+        endpoint.work_ms = 200
+        await entry.start(0, run=2)
+        await trio.sleep(1)
+        assert [end.ref for end in entry.ends] == [ref(0), ref(0, 2)]
+        assert entry.outcomes()[(0, 2)] == 'done'
+        nursery.cancel_scope.cancel()
