Stop no ended run because of lists that were overtaken

Cause: the guard holds two calls for lists at a time. Lists that were composed before the end of a run were handled after lists that had reported it, so the run was listed and unknown. It was stopped every 250 ms until the next lists, which an idle guard reads every 1.8 s. Overtaken lists could also hide a run that really was unknown.

Change: unknown runs are looked for only in lists that the endpoint has composed after all that were handled, by its own clock.

Result: test_run_that_has_ended_is_not_stopped_because_of_an_older_list failed before (three stops of an ended run); tests/runs passes.

--- a/src/borageward/runs/endpoint.py
+++ b/src/borageward/runs/endpoint.py
@@ -61,6 +61,8 @@
         # The endpoint rejects all requests to the former incarnation.
         self._is_fence_in_force = former is None
         self._last_lease_end_ms = 0
+        # The endpoint's clock when it composed the newest handled lists.
+        self._lists_clock_ms = -1
         self._last_answer_ms: Milliseconds = clock.now_ms()
         self._reachable = True
         # Number of the last run end that was handled.
@@ -147,6 +149,17 @@
         self._endpoint_clock_ms = clock_ms
         self._clock_read_ms = self._clock.now_ms()
 
+    def record_lists(self, clock_ms: int) -> bool:
+        """Record lists; return false if they are not newer than earlier ones.
+
+        Replies on different connections may overtake each other. ``clock_ms``
+        is the endpoint's clock when it composed the lists.
+        """
+        if clock_ms <= self._lists_clock_ms:
+            return False
+        self._lists_clock_ms = clock_ms
+        return True
+
     def record_answer(self) -> bool:
         """Record an answer; return whether the endpoint was unreachable."""
         regained = not self._reachable
--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -184,8 +184,9 @@
         listed = {item.ref for item in lists.running}
         for item in lists.running:
             self._handle_running(item.ref, item.percent)
-        for orphan in self._orphans.observe(listed):
-            self._spawn(self._orphans.stop, orphan)
+        if self._endpoint.record_lists(lists.clock_ms):
+            for orphan in self._orphans.observe(listed):
+                self._spawn(self._orphans.stop, orphan)
         for run in self._table:
             if run.ref not in listed:
                 self._check_missing(run, requested_ms)
