Limit the lease until a stopped run is no longer listed

A run whose entry is dark works on beyond the time at which its task starts elsewhere.

Cause: the guard lifted the limit of the lease as soon as the endpoint had answered a stop, for known and for unknown runs. Only lists that lack the run prove its end. An endpoint that answers 200 and goes on kept the run, while the lease was extended for the runs of other entries.

Change: a run limits the lease until lists lack it, an unknown run too. When the last limit is gone, the lease is renewed at once. Stops are repeated after 80 instead of 100 ms, which leaves the third stop after an expired session 50 ms to end its run before the lease of other runs ends.

--- a/src/borageward/policy/run_authority.py
+++ b/src/borageward/policy/run_authority.py
@@ -41,8 +41,8 @@
     def run_limit_ms(self) -> Milliseconds:
         """Return the time after the newest echo by which every run has ended.
 
-        No lease that it holds ends later, unless its stop is confirmed. It is
-        stopped after the session timeout, with one lease left at most.
+        No lease ends later while the endpoint lists it. It is stopped after
+        the session timeout, with one lease left at most.
         """
         return min(
             self.repeat_ms - _REPEAT_MARGIN_MS,
--- a/src/borageward/runs/lease.py
+++ b/src/borageward/runs/lease.py
@@ -44,8 +44,8 @@
     """Return the longest lease that may be granted, which may be negative.
 
     The lease applies to everything at the endpoint, so it ends by the time when
-    the first of its runs must have ended, unless the endpoint confirms the stop
-    of that run. Entries start the task elsewhere after this time.
+    the first of its runs must have ended, unless that run is no longer listed.
+    Entries start the task elsewhere after this time.
     """
     return min(table.limits.lease_ms, table.run_limit_ms() - now_ms)
 
--- a/src/borageward/runs/orphans.py
+++ b/src/borageward/runs/orphans.py
@@ -21,7 +21,7 @@
 
     A start that was reported as lost may be carried out late, and an entry
     may have started the task elsewhere since. Such a run is stopped until the
-    endpoint no longer lists it. It limits the lease until a stop is confirmed.
+    endpoint no longer lists it, and limits the lease as long.
     """
 
     def __init__(
@@ -42,6 +42,7 @@
     def observe(self, listed: Iterable[RunRef]) -> list[RunRef]:
         """Take the active runs; return those for which to call ``stop``."""
         self._listed = {ref for ref in listed if self._table.find(ref) is None}
+        self._table.keep_orphans(self._listed)
         found = list(self._listed - self._stopping)
         self._stopping.update(found)
         return found
@@ -63,8 +64,6 @@
                 self._endpoint.fence,
                 _STOP_TIMEOUT_MS,
             )
-            if failure is None:
-                self._table.remove_orphan(ref)
             await self._clock.sleep_ms(
                 _STOP_RETRY_MS if failure is None else _FAILED_STOP_RETRY_MS,
             )
--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -32,8 +32,11 @@
 _START_LEASE_MS = 700.0
 # The endpoint is on the same host and answers within a few milliseconds.
 _START_TIMEOUT_MS = 120.0
-# Allows three stops between the expiry of a session and the end of the lease.
-_STOP_TIMEOUT_MS = 100.0
+# Allows three stops between the expiry of a session and the end of the lease,
+# and 50 ms for the last one to end its run.
+_STOP_TIMEOUT_MS = 80.0
+# Stops that settle a start are repeated until its lease has ended.
+_SETTLE_TIMEOUT_MS = 100.0
 _STOP_RETRY_MS = 250.0
 # Delay after a failed stop, which may have been refused at once.
 _FAILED_STOP_RETRY_MS = 20.0
@@ -177,8 +180,10 @@
     ) -> None:
         """Update the runs from lists requested at ``requested_ms``.
 
-        The time is on the guard's clock.
+        The time is on the guard's clock. If a run that has ended had limited
+        the lease, little of it may be left, and it is renewed at once.
         """
+        was_limited = is_lease_limited(self._table, self._clock.now_ms())
         for ended in lists.ended:
             self._handle_end(ended)
         listed = {item.ref for item in lists.running}
@@ -190,8 +195,11 @@
         for run in self._table:
             if run.ref not in listed:
                 self._check_missing(run, requested_ms)
-        self._speed.project(projected_ratios(self._table, self._clock.now_ms()))
+        now_ms = self._clock.now_ms()
+        self._speed.project(projected_ratios(self._table, now_ms))
         self._stop_stalled()
+        if was_limited and not is_lease_limited(self._table, now_ms):
+            self._spawn(self._poll_now)
 
     def end(self, run: Run, outcome: RunOutcome, detail: str) -> None:
         """Remove a run from the table and report its end, but only once."""
@@ -298,7 +306,7 @@
             failure = await self._endpoint.port.stop(
                 run.ref,
                 self._endpoint.fence,
-                _STOP_TIMEOUT_MS,
+                _SETTLE_TIMEOUT_MS,
             )
             passed = self._endpoint.estimated_clock_ms() > run.void_after_ms
             if failure is None or passed:
@@ -328,16 +336,14 @@
             await self._clock.sleep_ms(_STOP_RETRY_MS)
 
     async def _confirm_stop(self, run: Run) -> None:
-        """Record a confirmed stop, which may have limited the lease until now.
+        """Record a confirmed stop, after which lists prove the end of a run.
 
-        The lease is renewed at once then, because little of it may be left.
+        They are read at once if the run limits the lease.
         """
         now_ms = self._clock.now_ms()
-        was_limited = is_lease_limited(self._table, now_ms)
         run.stop_confirmed = True
         run.confirmed_ms = now_ms
-        self.admit()
-        if was_limited and not is_lease_limited(self._table, now_ms):
+        if is_lease_limited(self._table, now_ms):
             await self._poll_now()
 
     def _handle_end(self, ended: EndedRun) -> None:
--- a/src/borageward/runs/table.py
+++ b/src/borageward/runs/table.py
@@ -4,7 +4,7 @@
 
 import enum
 import math
-from collections.abc import Iterator
+from collections.abc import Iterator, Set
 from typing import Protocol
 
 import attrs
@@ -192,20 +192,22 @@
         self._orphans.setdefault(ref, found_ms)
 
     def remove_orphan(self, ref: RunRef) -> None:
-        """Remove an orphan whose stop is confirmed or that has ended."""
+        """Remove an orphan that is no longer listed."""
         self._orphans.pop(ref, None)
 
+    def keep_orphans(self, listed: Set[RunRef]) -> None:
+        """Remove the orphans that are not listed."""
+        for ref in self._orphans.keys() - listed:
+            self.remove_orphan(ref)
+
     def run_limit_ms(self) -> Milliseconds:
         """Return the time by which the first run that may be active must end.
 
         A run that has lost its authority before its time may go on for a lease.
-        Runs whose stop is confirmed do not count. Infinite without such a run.
+        A run whose stop is confirmed counts until lists lack it: only these
+        prove its end. Infinite without such a run.
         """
-        active = [
-            run
-            for run in self
-            if run.occupies_endpoint and not run.stop_confirmed
-        ]
+        active = [run for run in self if run.occupies_endpoint]
         revoked = [run.revoked_ms for run in active]
         revoked.extend(self._orphans.values())
         lease_end_ms = min(revoked, default=math.inf) + self._limits.lease_ms
