--- a/src/borageward/runs/table.py
+++ b/src/borageward/runs/table.py
@@ -4,7 +4,7 @@
 
 import enum
 import math
-from collections.abc import Iterator
+from collections.abc import Iterator, Set
 from typing import Protocol
 
 import attrs
@@ -133,9 +133,15 @@
             return None
         return run
 
-    def remove(self, run: Run) -> None:
-        """Remove the run of a task, if there is one."""
-        self._runs.pop(run.ref.task, None)
+    def remove(self, run: Run) -> bool:
+        """Remove a run; return false if it has been removed before.
+
+        Its task may have another run by then, which is kept.
+        """
+        if self.find(run.ref) is not run:
+            return False
+        self._runs.pop(run.ref.task)
+        return True
 
     def of_session(self, session: str) -> list[Run]:
         """Return the runs of a session."""
@@ -186,20 +192,22 @@
         self._orphans.setdefault(ref, found_ms)
 
     def remove_orphan(self, ref: RunRef) -> None:
-        """Remove an orphan whose stop is confirmed or that has ended."""
+        """Remove an orphan that is no longer listed."""
         self._orphans.pop(ref, None)
 
+    def keep_orphans(self, listed: Set[RunRef]) -> None:
+        """Remove the orphans that are not listed."""
+        for ref in self._orphans.keys() - listed:
+            self.remove_orphan(ref)
+
     def run_limit_ms(self) -> Milliseconds:
         """Return the time by which the first run that may be active must end.
 
         A run that has lost its authority before its time may go on for a lease.
-        Runs whose stop is confirmed do not count. Infinite without such a run.
+        A run whose stop is confirmed counts until lists lack it: only these
+        prove its end. Infinite without such a run.
         """
-        active = [
-            run
-            for run in self
-            if run.occupies_endpoint and not run.stop_confirmed
-        ]
+        active = [run for run in self if run.occupies_endpoint]
         revoked = [run.revoked_ms for run in active]
         revoked.extend(self._orphans.values())
         lease_end_ms = min(revoked, default=math.inf) + self._limits.lease_ms
