Order nothing for old jobs after a silence of all guards

Callers saw: a task of their job had two runs at the same time. Cause: a connection that broke in a cut looks open until TCP repeats its end, up to about as long after the cut as the cut lasted. Nothing made the entry wait for that. Change: CallerContact notes when no guard was heard for more than 600 ms, also because the entry stood still. Jobs that were submitted before that are neither placed nor refused until the entry has been in contact for as long as the silence lasted. Jobs submitted since, runs that a resumed session lists, and deadlines are not concerned, nor is anything while any guard is heard. A second silence within that time lengthens it. The decision is logged as callers_in_doubt. 600 ms: news held back by a shorter cut arrive within 1,200 ms after its beginning, before the 1,300 ms after which callers repeat a job. Not bounded, see section 12 of design.md: a reset that is lost in a cut, and the runs of a session that is resumed after 600 to 900 ms.

--- a/src/borageward/dispatch/dispatcher.py
+++ b/src/borageward/dispatch/dispatcher.py
@@ -9,6 +9,7 @@
 
 from borageward.clock import Clock
 from borageward.dispatch.candidates import Candidates, placement_need
+from borageward.dispatch.contact import CallerContact
 from borageward.dispatch.endingruns import EndingRuns
 from borageward.dispatch.fleet import Fleet
 from borageward.dispatch.job import Job, JobTask, TaskState
@@ -62,6 +63,7 @@
         self._log = log
         self._jobs: dict[str, Job] = {}
         self._ending = EndingRuns()
+        self._contact = CallerContact(clock, log)
         self._started_ms = clock.now_ms()
         self._wake = trio.Event()
         # Whether the last placement round left tasks without an endpoint.
@@ -103,6 +105,14 @@
         if self._has_unplaced:
             self.wake()
 
+    def check(self) -> None:
+        """Handle a silence of the guards, and tasks that wait for its end.
+
+        Has to be called at intervals.
+        """
+        self._contact.record(self._fleet.heard_ms())
+        self.handle_state()
+
     def handle_end(
         self,
         guard: str,
@@ -163,8 +173,8 @@
 
     def _dispatch(self) -> None:
         """Place the tasks that fit and refuse jobs that would wait too long."""
-        waiting_tasks = self._waiting_by_slack()
         self._has_unplaced = False
+        waiting_tasks = self._waiting_by_slack()
         if not waiting_tasks:
             return
         candidates = Candidates(self._fleet)
@@ -174,7 +184,7 @@
                 unplaced.append(waiting)
             elif not self._place(waiting, candidates):
                 unplaced.append(waiting)
-        self._has_unplaced = bool(unplaced)
+        self._has_unplaced = self._has_unplaced or bool(unplaced)
         self._refuse_excess(unplaced, candidates)
         self._fleet.flush()
 
@@ -209,10 +219,9 @@
 
     def _waiting_by_slack(self) -> list[_WaitingTask]:
         now_ms = self._clock.now_ms()
+        self._contact.record(self._fleet.heard_ms())
         waiting: list[_WaitingTask] = []
         for job in self._jobs.values():
-            if job.outcome is not None:
-                continue
             for task in self._placeable(job):
                 step = job.request.steps[task.key.step]
                 slack = slack_ms(job.goal, step.estimate_ms, now_ms)
@@ -221,7 +230,15 @@
         return waiting
 
     def _placeable(self, job: Job) -> list[JobTask]:
-        """Return the waiting tasks without an ending run."""
+        """Return the waiting tasks without an ending run.
+
+        A job has none while its caller may have left unnoticed.
+        """
+        if job.outcome is not None:
+            return []
+        if not self._contact.may_order(job.submitted_ms):
+            self._has_unplaced = self._has_unplaced or bool(job.waiting())
+            return []
         return [task for task in job.waiting() if task.key not in self._ending]
 
     def _is_excess(self, job: Job, backlog: Backlog) -> bool:
--- a/src/borageward/dispatch/fleet.py
+++ b/src/borageward/dispatch/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -73,6 +74,13 @@
         """Return the links of the subset, with or without a session."""
         return self._links.values()
 
+    def heard_ms(self) -> Milliseconds:
+        """Return when any guard was last heard; -inf without one."""
+        return max(
+            (link.heard_ms for link in self._links.values()),
+            default=-math.inf,
+        )
+
     def report_shortage(self, pool: str, label: str) -> None:
         """Enlarge the subset: a task found no endpoint in a pool.
 
--- a/src/borageward/dispatch/guardlink.py
+++ b/src/borageward/dispatch/guardlink.py
@@ -85,7 +85,8 @@
         self._echoed_ms: Milliseconds = -math.inf
         self._outgoing: list[EntryMessage] = []
         self._posted = trio.Event()
-        self._last_received_ms: Milliseconds = 0
+        # When the host of the guard was last heard.
+        self.heard_ms: Milliseconds = -math.inf
         self._last_renewal_ms: Milliseconds = 0
         self._stamps = CheckedStamps()
         # Time after the last heartbeat by which all runs have ended.
@@ -185,7 +186,7 @@
         timeout_ms = (
             _SILENCE_TIMEOUT_MS if self._runs else _IDLE_SILENCE_TIMEOUT_MS
         )
-        if now_ms - self._last_received_ms > timeout_ms:
+        if now_ms - self.heard_ms > timeout_ms:
             self._exchange_scope.cancel()
         elapsed_ms = now_ms - self._last_renewal_ms
         if not self._opened and elapsed_ms > self._run_limit_ms:
@@ -205,7 +206,7 @@
             ),
         ]
         self._posted.set()
-        self._last_received_ms = self._clock.now_ms()
+        self.heard_ms = self._clock.now_ms()
         try:
             await self._exchange(connection)
         finally:
@@ -258,7 +259,7 @@
             message = await connection.receive()
             if isinstance(message, Failure):
                 raise LinkClosed
-            self._last_received_ms = self._clock.now_ms()
+            self.heard_ms = self._clock.now_ms()
             self._handle_message(message)
 
     def _handle_message(self, message: GuardMessage) -> None:
--- a/src/borageward/dispatch/job.py
+++ b/src/borageward/dispatch/job.py
@@ -115,6 +115,8 @@
         self.ordered = False
         # Number of times that callers have submitted the job at this entry.
         self.submissions = 0
+        # When a caller has submitted the job at this entry the last time.
+        self.submitted_ms = now_ms
         self._release_steps()
 
     @property
--- a/src/borageward/dispatch/service.py
+++ b/src/borageward/dispatch/service.py
@@ -132,6 +132,7 @@
             self._dispatcher.add(job)
             self._log_accepted(job)
         job.submissions += 1
+        job.submitted_ms = self._clock.now_ms()
         submission = job.submissions
         outcome = JobOutcome(JobVerdict.EXPIRED, 'caller left')
         try:
@@ -285,7 +286,7 @@
             await self._clock.sleep_ms(_LINK_UPDATE_INTERVAL_MS)
             self._fleet.update_links(nursery)
             # Tasks that wait while no guard sends states are refused in time.
-            self._dispatcher.handle_state()
+            self._dispatcher.check()
 
     def _handle_end(
         self,
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -276,6 +276,11 @@
         'guard_lost': _warning(
             'guard, runs', 'The link to a guard with a session was closed.'
         ),
+        'callers_in_doubt': _warning(
+            'silent_ms',
+            'No guard was heard for a while, so callers may have left '
+            'unnoticed; older jobs get no new runs for as long.',
+        ),
         'guard_link_closed': _info(
             'guard, links',
             'A guard left the subset of guards that the entry keeps links to.',
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import pytest
@@ -57,11 +58,17 @@
         self.orders = []
         self.stopped = []
         self.shortages = 0
+        # No silence begins before a guard was heard.
+        self.heard_at_ms = -math.inf
 
     def links(self):
         """Return the links of the test."""
         return self._links
 
+    def heard_ms(self):
+        """Return when a guard was heard, as the test says."""
+        return self.heard_at_ms
+
     def order(self, guard, message, ref, waited_ms):
         """Record an order."""
         self.orders.append((guard, ref))
