Log what proves the end of a run and when a repeated one starts

`run_ended` is at level debug, and lists of an endpoint are never logged. So a second run that begins too early cannot be told from one that begins after a proved end.

A guard now writes `run_end_proved` for each run that ends otherwise than done, with the proof, the age of the lists and the time left of the leases; `repeated_start` when a run 2 or higher is sent, confirmed or listed; `stopped_run_listed` when lists requested over 60 ms after a confirmed stop still show the run; and `orphan_stopped` tells by the endpoint's clock whether its lists are newer than those that proved the end. `runs_ordered` and `run_not_done` name the step. What is decided does not change.

--- a/src/borageward/dispatch/dispatcher.py
+++ b/src/borageward/dispatch/dispatcher.py
@@ -314,6 +314,7 @@
         self._log.warning(
             'run_not_done',
             job=ref.task.job_id,
+            step=ref.task.step,
             task=ref.task.index,
             run=ref.run,
             guard=guard,
--- a/src/borageward/dispatch/fleet.py
+++ b/src/borageward/dispatch/fleet.py
@@ -102,7 +102,7 @@
         """Send the pending orders, one message per guard, job and step."""
         pending = self._pending
         self._pending = {}
-        for (guard, job_id, _step), orders in pending.items():
+        for (guard, job_id, step), orders in pending.items():
             first = orders[0]
             starts = tuple(
                 (order.ref.task.index, order.ref.run) for order in orders
@@ -111,6 +111,7 @@
             self._log.event(
                 'runs_ordered',
                 job=job_id,
+                step=step,
                 guard=guard,
                 tasks=','.join(str(index) for index, _ in starts),
                 run=max(run for _, run in starts),
--- a/src/borageward/runs/endpoint.py
+++ b/src/borageward/runs/endpoint.py
@@ -219,6 +219,17 @@
         left_ms = self._last_lease_end_ms - self.estimated_clock_ms()
         return max(0, left_ms / _CLOCK_MARGIN)
 
+    def lease_balance_ms(self) -> Milliseconds | None:
+        """Return an upper bound of the time left of all leases.
+
+        If negative, they ended at least that long ago. None without a lease,
+        or if a former incarnation may have got one.
+        """
+        if not (self._is_fence_in_force and self._last_lease_end_ms):
+            return None
+        left_ms = self.lease_left_ms()
+        return left_ms or self._last_lease_end_ms - self.estimated_clock_ms()
+
     def leases_expired(self) -> bool:
         """Return whether all leases have expired, so that no run is active.
 
--- a/src/borageward/runs/incarnations.py
+++ b/src/borageward/runs/incarnations.py
@@ -8,6 +8,7 @@
 import trio
 
 from borageward.clock import Clock, Milliseconds
+from borageward.runs.endings import RunLog
 from borageward.runs.endpoint import Endpoint
 from borageward.runs.lease import LeaseRenewer
 from borageward.runs.port import (
@@ -61,6 +62,7 @@
         self._clock = clock
         self._steady_clock = steady_clock
         self._log = log
+        self._run_log = RunLog(clock, log)
         self._started_ms = clock.now_ms()
         self._only_own_runs_listed = False
         self._draining = False
@@ -204,6 +206,7 @@
             self._on_end,
             self._clock,
             self._log,
+            self._run_log,
         )
         nursery.start_soon(self._supervise, self._supervisor, self._scope)
         self._on_change()
--- a/src/borageward/runs/sessionserver.py
+++ b/src/borageward/runs/sessionserver.py
@@ -20,6 +20,7 @@
     StopRuns,
     TaskKey,
 )
+from borageward.runs.endings import log_refusal
 from borageward.runs.endpointstate import EndpointStates
 from borageward.runs.incarnations import EndpointMonitor
 from borageward.runs.link import EntryLink
@@ -105,7 +106,7 @@
         for entry, ref in self._refusals.pop(run.ref.task):
             refused = self._sessions.find(entry)
             if refused is not None:
-                refused.add_end(ref, RunOutcome.REFUSED, 'task had another run')
+                _refuse(self._log, refused, ref, 'task had another run')
         self.notify()
 
     async def serve(self, stream: trio.abc.Stream) -> None:
@@ -253,7 +254,7 @@
             )
             ref = RunRef(task, number)
             if refusal_detail:
-                session.add_end(ref, RunOutcome.REFUSED, refusal_detail)
+                _refuse(self._log, session, ref, refusal_detail)
             else:
                 self._add_run(session, message, ref)
         self._admit()
@@ -379,3 +380,9 @@
         if ends:
             link.post(RunsEnded(ends))
         link.post(self._states.compose(session, self._supervisor()))
+
+
+def _refuse(log: EventLog, session: Session, ref: RunRef, detail: str) -> None:
+    """Report to an entry that a run has not come into the table."""
+    log_refusal(log, session.entry, ref, detail)
+    session.add_end(ref, RunOutcome.REFUSED, detail)
--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -15,6 +15,16 @@
     RunAdmission,
     is_lease_limited,
 )
+from borageward.runs.endings import (
+    INCARNATION_ENDED,
+    LEASES_EXPIRED,
+    NOT_STARTED,
+    START_REFUSED,
+    EndProof,
+    ListTime,
+    ProofKind,
+    RunLog,
+)
 from borageward.runs.endpoint import Endpoint
 from borageward.runs.lease import lease_limit_ms
 from borageward.runs.orphans import OrphanRuns
@@ -37,6 +47,7 @@
 _STOP_RETRY_MS = 250.0
 # Delay after a failed stop, which may have been refused at once.
 _FAILED_STOP_RETRY_MS = 20.0
+_WITHDRAWN = 'withdrawn before its start'
 
 # Polls the run lists of the endpoint without waiting.
 ListsReader = Callable[[], Awaitable[object]]
@@ -58,6 +69,7 @@
         on_end: EndHandler,
         clock: Clock,
         log: EventLog,
+        run_log: RunLog,
     ) -> None:
         """Prepare the supervisor; no run starts before ``start``."""
         self._endpoint = endpoint
@@ -65,11 +77,12 @@
         self._on_end = on_end
         self._clock = clock
         self._log = log
+        self._run_log = run_log
         self._nursery: trio.Nursery | None = None
         self._read_lists: ListsReader | None = None
         self._speed = SlownessEstimate()
         self._failures = FailureShare()
-        self._orphans = OrphanRuns(endpoint, table, clock, log)
+        self._orphans = OrphanRuns(endpoint, table, clock, run_log)
         self._admission = RunAdmission(endpoint, table, clock)
 
     @property
@@ -101,7 +114,7 @@
     def admit(self) -> None:
         """Refuse the waiting runs that cannot start, and start what fits."""
         for run, reason in self._admission.refusals():
-            self.end(run, RunOutcome.REFUSED, reason)
+            self.end(run, RunOutcome.REFUSED, reason, NOT_STARTED)
         for admitted in self._admission.startable():
             admitted.state = RunState.STARTING
             admitted.requested_ms = self._clock.now_ms()
@@ -128,7 +141,7 @@
     def stop(self, run: Run) -> None:
         """Withdraw a waiting run, or stop one that may be active."""
         if run.state is RunState.WAITING:
-            self.end(run, RunOutcome.REFUSED, 'withdrawn before its start')
+            self.end(run, RunOutcome.REFUSED, _WITHDRAWN, NOT_STARTED)
         elif run.state is not RunState.STOPPING:
             run.state = RunState.STOPPING
             self._spawn(self._stop, run)
@@ -146,12 +159,13 @@
                 outcome = RunOutcome.LOST
                 if self._endpoint.refuses and not self._endpoint.has_left:
                     outcome = crash_outcome(run)
-                run.state = RunState.STOPPING
                 self.end(
                     run,
                     outcome,
                     'endpoint silent until its leases expired',
+                    LEASES_EXPIRED,
                 )
+                run.state = RunState.STOPPING
 
     def end_incarnation(self, detail: str, *, same_id: bool) -> None:
         """Report the ends of the runs because the incarnation has ended.
@@ -168,7 +182,7 @@
             else:
                 left = self._endpoint.has_left
                 outcome = RunOutcome.LOST if left else crash_outcome(run)
-                self.end(run, outcome, detail)
+                self.end(run, outcome, detail, INCARNATION_ENDED)
 
     def observe(
         self,
@@ -179,22 +193,31 @@
 
         The time is on the guard's clock.
         """
+        born_ms = self._endpoint.status.born_ms
+        time = ListTime(requested_ms, lists.clock_ms, born_ms)
         for ended in lists.ended:
-            self._handle_end(ended)
+            self._handle_end(ended, time)
         listed = {item.ref for item in lists.running}
         for item in lists.running:
-            self._handle_running(item.ref, item.percent)
-        for orphan in self._orphans.observe(listed):
+            self._handle_running(item.ref, item.percent, time)
+        for orphan in self._orphans.observe(listed, time):
             self._spawn(self._orphans.stop, orphan)
         for run in self._table:
             if run.ref not in listed:
-                self._check_missing(run, requested_ms)
+                self._check_missing(run, time)
         self._speed.project(projected_ratios(self._table, self._clock.now_ms()))
         self._stop_stalled()
 
-    def end(self, run: Run, outcome: RunOutcome, detail: str) -> None:
+    def end(
+        self,
+        run: Run,
+        outcome: RunOutcome,
+        detail: str,
+        proof: EndProof,
+    ) -> None:
         """Remove a run from the table and report its end."""
         self._table.remove(run)
+        self._run_log.ended(run, outcome, detail, proof, self._endpoint)
         self._log.debug(
             'run_ended',
             job=run.ref.task.job_id,
@@ -227,7 +250,7 @@
         if self._table.find(run.ref) is not run:
             return
         if run.authority_end_ms <= now_ms:
-            self.end(run, RunOutcome.REFUSED, 'withdrawn before its start')
+            self.end(run, RunOutcome.REFUSED, _WITHDRAWN, NOT_STARTED)
             return
         limit_ms = lease_limit_ms(self._table, now_ms)
         request = StartRequest(
@@ -236,6 +259,7 @@
             endpoint.grant_lease(min(_START_LEASE_MS, limit_ms)),
             endpoint.fence,
         )
+        self._run_log.start_stage(run, 'sent')
         reply = await endpoint.port.start(request, _START_TIMEOUT_MS)
         if run.state is not RunState.STARTING:
             return
@@ -254,6 +278,7 @@
         if run.state is not RunState.STARTING:
             return
         if reply is StartReply.STARTED:
+            self._run_log.start_stage(run, 'confirmed')
             _mark_running(run, self._clock.now_ms())
         elif reply is StartReply.NO_ROOM:
             await self._wait_for_room(run)
@@ -261,7 +286,7 @@
             outcome = RunOutcome.REFUSED
             if reply is StartReply.OUTRUN:
                 outcome = RunOutcome.OUTRUN
-            self.end(run, outcome, reply.value)
+            self.end(run, outcome, reply.value, START_REFUSED)
 
     def _mark_unsettled(self, run: Run, failure: Failure) -> None:
         if self._endpoint.record_failed_call():
@@ -338,7 +363,7 @@
         if was_limited and not is_lease_limited(self._table, now_ms):
             await self._poll_now()
 
-    def _handle_end(self, ended: EndedRun) -> None:
+    def _handle_end(self, ended: EndedRun, time: ListTime) -> None:
         if ended.number <= self._endpoint.seen_end:
             return
         self._endpoint.seen_end = ended.number
@@ -352,33 +377,42 @@
         if ended.outcome in {RunOutcome.DONE, RunOutcome.FAILED}:
             failed = ended.outcome is RunOutcome.FAILED
             self._failures.observe(run.ref.task.job_id, failed=failed)
-        self.end(run, ended.outcome, ended.detail)
+        proof = EndProof(ProofKind.LISTED_END, time)
+        self.end(run, ended.outcome, ended.detail, proof)
 
-    def _handle_running(self, ref: RunRef, percent: float) -> None:
+    def _handle_running(
+        self,
+        ref: RunRef,
+        percent: float,
+        time: ListTime,
+    ) -> None:
         run = self._table.find(ref)
         if run is None:
             return
         run.listed = True
         if run.state in {RunState.STARTING, RunState.UNSETTLED}:
+            self._run_log.start_stage(run, 'listed')
             _mark_running(run, self._clock.now_ms())
+        self._run_log.check_stop(run, time, self._endpoint)
         if percent > run.percent:
             run.percent = percent
             run.progress_ms = self._clock.now_ms()
 
-    def _check_missing(self, run: Run, requested_ms: Milliseconds) -> None:
+    def _check_missing(self, run: Run, time: ListTime) -> None:
         """End or settle a run missing from lists that are newer than its state.
 
         Lists requested before the last change of the run prove nothing.
         """
         if run.state is RunState.UNSETTLED:
-            if run.requested_ms <= requested_ms and not run.settling:
+            if run.requested_ms <= time.requested_ms and not run.settling:
                 run.settling = True
                 self._spawn(self._settle, run)
             return
         if run.state not in {RunState.RUNNING, RunState.STOPPING}:
             return
-        if run.confirmed_ms and run.confirmed_ms <= requested_ms:
-            self.end(run, RunOutcome.LOST, 'run not listed by endpoint')
+        if run.confirmed_ms and run.confirmed_ms <= time.requested_ms:
+            proof = EndProof(ProofKind.MISSING, time)
+            self.end(run, RunOutcome.LOST, 'run not listed by endpoint', proof)
 
     def _stop_stalled(self) -> None:
         now_ms = self._clock.now_ms()
--- a/src/borageward/runs/table.py
+++ b/src/borageward/runs/table.py
@@ -50,7 +50,8 @@
     of the endpoint has listed the run as active. ``revoked_ms`` is when the run
     lost its authority before its time, and ``stop_confirmed`` is set when the
     endpoint has confirmed its stop. ``limit_ms`` is when it must have ended, if
-    that is sooner than its authority says.
+    that is sooner than its authority says. ``outlived_stop`` is set when a list
+    that shows the run after its confirmed stop was reported.
     """
 
     ref: RunRef
@@ -71,6 +72,7 @@
     revoked_ms: Milliseconds = math.inf
     stop_confirmed: bool = False
     limit_ms: Milliseconds = math.inf
+    outlived_stop: bool = False
 
     @property
     def authority_end_ms(self) -> Milliseconds:
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -257,11 +257,11 @@
             'A job ended; `guards` lists where each task ran last.',
         ),
         'runs_ordered': _info(
-            'job, guard, tasks, run, waited_ms, slack_ms, room',
+            'job, step, guard, tasks, run, waited_ms, slack_ms, room',
             'Runs were ordered; `room` is the free CPU in millicores.',
         ),
         'run_not_done': _warning(
-            'job, task, run, guard, outcome, detail',
+            'job, step, task, run, guard, outcome, detail',
             'A run ended with an outcome other than `done`.',
         ),
         'task_crashed': _info(
@@ -354,9 +354,35 @@
             'job, task, run, detail, after_ms',
             'A run without authority has ended, this long after it lost it.',
         ),
+        'run_end_proved': _info(
+            'job, step, task, run, entry, outcome, detail, state, proof, '
+            'list_age_ms, confirmed_ms, lease_left_ms, limit_left_ms',
+            'A run that is not done has ended at the guard, so its entry may '
+            'start the task again. `proof` shows the end: `not_started`, '
+            '`start_refused`, `listed_end`, `missing` (from lists requested '
+            '`list_age_ms` ago), `leases_expired` or `incarnation_ended`. '
+            '`confirmed_ms` is the time since the start or stop was confirmed, '
+            '`lease_left_ms` the longest time left of all leases, negative '
+            'after their end, and `limit_left_ms` the time left until the '
+            'entry may start the task again without a report.',
+        ),
+        'repeated_start': _info(
+            'job, step, task, run, entry, stage, sent_ms',
+            'The start of run 2 or higher of a task is `sent`, `confirmed` by '
+            'its reply or `listed` by the endpoint, `sent_ms` after it was '
+            'requested.',
+        ),
+        'stopped_run_listed': _warning(
+            'job, step, task, run, confirmed_ms, list_age_ms, lease_left_ms',
+            'A run is still listed as running, although its stop was confirmed '
+            '`confirmed_ms` ago, over 60 ms before the lists were requested.',
+        ),
         'orphan_stopped': _info(
-            'job, run',
-            'A run that no session of this guard requested is stopped.',
+            'job, step, task, run, list_age_ms, ended_ms, proof, lead_ms',
+            'A run that no session of this guard requested, or that has ended '
+            'here, is stopped. Its end was reported `ended_ms` ago with this '
+            '`proof`; `lead_ms` is how much newer the lists are than those '
+            'that proved the end, negative if they are older.',
         ),
         'run_ended': EventDescription(
             'debug',
--- a/tests/runs/guardharness.py
+++ b/tests/runs/guardharness.py
@@ -35,6 +35,27 @@
     return RunRef(TaskKey(job, 0, 0, index), run)
 
 
+class RecordingLog(EventLog):
+    """Event log that keeps the events of level info and above."""
+
+    def __init__(self):
+        """Start without events."""
+        super().__init__()
+        self.events = []
+
+    def event(self, name, **fields):
+        """Keep an event."""
+        self.events.append((name, fields))
+
+    def warning(self, name, **fields):
+        """Keep a warning."""
+        self.events.append((name, fields))
+
+    def of(self, name):
+        """Return the fields of all events with a name."""
+        return [fields for event, fields in self.events if event == name]
+
+
 class Entry:
     """Entry that follows the protocol.
 
@@ -123,7 +144,8 @@
 
     def __init__(self, endpoint, nursery, clock=None):
         clock = clock or endpoint.clock
-        log = EventLog()
+        log = RecordingLog()
+        self.log = log
         self.table = RunTable()
         self.sessions = SessionServer(self.table, clock, log)
         # Endpoints at this host by id, besides the first one.
