Log when a run was last listed and when its own leases ended

The end of a run at a frozen guard is logged after its thaw: plays of cut-off and frozen guards gave ends 2.4 s after the second order, though the leases were over long before. A lease that begins after the thaw hid that.

`run_end_proved` tells by `listed_ms` when the run was at work for sure, and `lease_left_ms` counts from the leases that the run had: an endpoint counts how often all of its leases had ended before a new one.

--- a/src/borageward/runs/endings.py
+++ b/src/borageward/runs/endings.py
@@ -124,8 +124,9 @@
             state=run.state.value,
             proof=proof.kind.value,
             list_age_ms=_list_age(proof.lists, now_ms),
+            listed_ms=_age(run.listed_ms, now_ms),
             confirmed_ms=_age(run.confirmed_ms, now_ms),
-            lease_left_ms=_rounded(endpoint.lease_balance_ms()),
+            lease_left_ms=_rounded(endpoint.lease_balance_ms(run.lapses)),
             limit_left_ms=_rounded(run.authority.run_limit_ms - now_ms),
         )
 
@@ -188,7 +189,7 @@
             run=ref.run,
             confirmed_ms=_age(confirmed_ms, now_ms),
             list_age_ms=_list_age(lists, now_ms),
-            lease_left_ms=_rounded(endpoint.lease_balance_ms()),
+            lease_left_ms=_rounded(endpoint.lease_balance_ms(math.inf)),
         )
 
     def _keep(self, ref: RunRef, end: _RecentEnd) -> None:
--- a/src/borageward/runs/endpoint.py
+++ b/src/borageward/runs/endpoint.py
@@ -61,6 +61,8 @@
         # The endpoint rejects all requests to the former incarnation.
         self._is_fence_in_force = former is None
         self._last_lease_end_ms = 0
+        # End of the leases before the last time that none was in force.
+        self._lapsed_lease_end_ms = 0
         self._last_answer_ms: Milliseconds = clock.now_ms()
         self._reachable = True
         # Number of the last run end that was handled.
@@ -69,6 +71,8 @@
         self.has_left = False
         # The endpoint has refused a connection since its last answer.
         self.refuses = False
+        # Number of leases that were granted after all former ones had ended.
+        self.lapses = 0
         # The guard itself is shutting down.
         self.draining = False
 
@@ -211,6 +215,9 @@
         lease_end_ms = int(
             self.estimated_clock_ms() + duration_ms * _CLOCK_MARGIN
         )
+        if self.leases_expired():
+            self.lapses += 1
+            self._lapsed_lease_end_ms = self._last_lease_end_ms
         self._last_lease_end_ms = max(self._last_lease_end_ms, lease_end_ms)
         return lease_end_ms
 
@@ -219,16 +226,20 @@
         left_ms = self._last_lease_end_ms - self.estimated_clock_ms()
         return max(0, left_ms / _CLOCK_MARGIN)
 
-    def lease_balance_ms(self) -> Milliseconds | None:
-        """Return an upper bound of the time left of all leases.
+    def lease_balance_ms(self, lapses: float) -> Milliseconds | None:
+        """Return an upper bound of the time left of the leases of a run.
 
-        If negative, they ended at least that long ago. None without a lease,
-        or if a former incarnation may have got one.
+        ``lapses`` is the number of lapses when the run started: after a later
+        one it is not at work. If negative, the leases ended at least that long
+        ago. None without a lease, or if a former incarnation may have got one.
         """
-        if not (self._is_fence_in_force and self._last_lease_end_ms):
+        lease_end_ms = self._last_lease_end_ms
+        if self.lapses > lapses:
+            lease_end_ms = self._lapsed_lease_end_ms
+        if not (self._is_fence_in_force and lease_end_ms):
             return None
-        left_ms = self.lease_left_ms()
-        return left_ms or self._last_lease_end_ms - self.estimated_clock_ms()
+        left_ms = lease_end_ms - self.estimated_clock_ms()
+        return left_ms / _CLOCK_MARGIN if left_ms > 0 else left_ms
 
     def leases_expired(self) -> bool:
         """Return whether all leases have expired, so that no run is active.
--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -178,6 +179,7 @@
             if same_id and run.may_start_in_next_incarnation:
                 run.state = RunState.STOPPING
                 run.stop_confirmed = False
+                run.lapses = math.inf
                 run.confirmed_ms = self._clock.now_ms()
             else:
                 left = self._endpoint.has_left
@@ -259,6 +261,7 @@
             endpoint.grant_lease(min(_START_LEASE_MS, limit_ms)),
             endpoint.fence,
         )
+        run.lapses = endpoint.lapses
         self._run_log.start_stage(run, 'sent')
         reply = await endpoint.port.start(request, _START_TIMEOUT_MS)
         if run.state is not RunState.STARTING:
@@ -390,6 +393,7 @@
         if run is None:
             return
         run.listed = True
+        run.listed_ms = time.requested_ms
         if run.state in {RunState.STARTING, RunState.UNSETTLED}:
             self._run_log.start_stage(run, 'listed')
             _mark_running(run, self._clock.now_ms())
--- a/src/borageward/runs/table.py
+++ b/src/borageward/runs/table.py
@@ -51,7 +51,10 @@
     lost its authority before its time, and ``stop_confirmed`` is set when the
     endpoint has confirmed its stop. ``limit_ms`` is when it must have ended, if
     that is sooner than its authority says. ``outlived_stop`` is set when a list
-    that shows the run after its confirmed stop was reported.
+    that shows the run after its confirmed stop was reported. ``listed_ms`` is
+    when the last lists that show the run as active were requested, and
+    ``lapses`` how often the leases of the endpoint had lapsed when the run was
+    started there, infinite if that was another incarnation.
     """
 
     ref: RunRef
@@ -73,6 +76,8 @@
     stop_confirmed: bool = False
     limit_ms: Milliseconds = math.inf
     outlived_stop: bool = False
+    listed_ms: Milliseconds = 0
+    lapses: float = 0
 
     @property
     def authority_end_ms(self) -> Milliseconds:
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -356,15 +356,17 @@
         ),
         'run_end_proved': _info(
             'job, step, task, run, entry, outcome, detail, state, proof, '
-            'list_age_ms, confirmed_ms, lease_left_ms, limit_left_ms',
+            'list_age_ms, listed_ms, confirmed_ms, lease_left_ms, '
+            'limit_left_ms',
             'A run that is not done has ended at the guard, so its entry may '
             'start the task again. `proof` shows the end: `not_started`, '
             '`start_refused`, `listed_end`, `missing` (from lists requested '
-            '`list_age_ms` ago), `leases_expired` or `incarnation_ended`. '
-            '`confirmed_ms` is the time since the start or stop was confirmed, '
-            '`lease_left_ms` the longest time left of all leases, negative '
-            'after their end, and `limit_left_ms` the time left until the '
-            'entry may start the task again without a report.',
+            '`list_age_ms` ago), `leases_expired` or `incarnation_ended`. The '
+            'run was at work for sure `listed_ms` ago. `confirmed_ms` is the '
+            'time since its start or stop was confirmed, `lease_left_ms` the '
+            'longest time left of its leases, negative after their end, and '
+            '`limit_left_ms` the time left until the entry may start the task '
+            'again without a report.',
         ),
         'repeated_start': _info(
             'job, step, task, run, entry, stage, sent_ms',
--- a/tests/runs/test_run_log.py
+++ b/tests/runs/test_run_log.py
@@ -85,6 +85,46 @@
         assert fields['list_age_ms'] == UNKNOWN
 
 
+async def test_lease_that_lapsed_during_a_freeze_is_known(autojump_clock):
+    """Guards against a run that seems to work until a frozen guard thaws.
+
+    A new lease begins after the thaw, but the one of the run is over since.
+    The stand-in for the freeze is an endpoint that is silent for 3 s. The lease
+    ends 0.5 to 0.8 s after its begin, 2.8 to 3.1 s before the end of the test.
+    """
+    async with running_guard(work_ms=9000) as (guard, endpoint, entry, _):
+        await entry.start(0)
+        await trio.sleep(0.5)
+        run = next(iter(guard.table))
+        known = guard.monitor.supervisor.endpoint
+        assert known.lease_balance_ms(run.lapses) > 0
+        endpoint.silent = True
+        guard.table.remove(run)
+        await trio.sleep(3)
+        endpoint.silent = False
+        await trio.sleep(0.3)
+        await entry.start(1)
+        await trio.sleep(0.3)
+        assert known.lapses > run.lapses
+        assert -3150 < known.lease_balance_ms(run.lapses) < -2650
+        assert known.lease_balance_ms(known.lapses) > 0
+
+
+async def test_last_lists_with_a_run_are_dated(autojump_clock):
+    """Guards against an end that leaves open whether two runs overlapped.
+
+    The run was at work for sure when the last lists that show it were
+    requested, which is between one and two polls before its end.
+    """
+    async with running_guard(work_ms=9000) as (guard, endpoint, entry, _):
+        await entry.start(0)
+        await trio.sleep(1)
+        endpoint.silent = True
+        await trio.sleep(2)
+        fields = only(guard, 'run_end_proved')
+        assert 800 < fields['listed_ms'] < 1600
+
+
 async def test_run_missing_from_lists_tells_their_age(autojump_clock):
     """Guards against an end by lists that cannot be compared with the start."""
     async with running_guard(work_ms=9000) as (guard, endpoint, entry, _):
