--- a/src/borageward/runs/table.py
+++ b/src/borageward/runs/table.py
@@ -50,7 +50,11 @@
     of the endpoint has listed the run as active. ``revoked_ms`` is when the run
     lost its authority before its time, and ``stop_confirmed`` is set when the
     endpoint has confirmed its stop. ``limit_ms`` is when it must have ended, if
-    that is sooner than its authority says.
+    that is sooner than its authority says. ``outlived_stop`` is set when a list
+    that shows the run after its confirmed stop was reported. ``listed_ms`` is
+    when the last lists that show the run as active were requested, and
+    ``lapses`` how often the leases of the endpoint had lapsed when the run was
+    started there, infinite if that was another incarnation.
     """
 
     ref: RunRef
@@ -71,6 +75,9 @@
     revoked_ms: Milliseconds = math.inf
     stop_confirmed: bool = False
     limit_ms: Milliseconds = math.inf
+    outlived_stop: bool = False
+    listed_ms: Milliseconds = 0
+    lapses: float = 0
 
     @property
     def authority_end_ms(self) -> Milliseconds:
