Let the probe read logs with writes that the bench has cut

The bench keeps 8,192 bytes of each write of a process. The probe dropped such lines, and took runs whose end was lost for ordered twice without an end.

--- a/bench/second_runs/__main__.py
+++ b/bench/second_runs/__main__.py
@@ -139,6 +139,8 @@
     pattern = ' '.join(summary.pattern_jobs) or 'none'
     sys.stdout.write(f'\njobs accepted more than once: {twice}\n')
     sys.stdout.write(f'job ids of the reported pattern: {pattern}\n')
+    if summary.cuts:
+        sys.stdout.write(f'writes that lack lines: {summary.cuts}\n')
     for line in summary.reported:
         sys.stdout.write(f'the bench says: {line}\n')
 
--- a/bench/second_runs/orders.py
+++ b/bench/second_runs/orders.py
@@ -70,7 +70,8 @@
     """Orders of all tasks and the lines about their runs and jobs.
 
     ``job_lines`` holds the other lines about jobs by event and job, and
-    ``starts`` the lines of the starts of each process.
+    ``starts`` the lines of the starts of each process. ``cuts`` counts the
+    writes from which the bench has lost lines.
     """
 
     orders: dict[TaskId, list[Order]] = attrs.field(factory=dict)
@@ -78,6 +79,7 @@
     job_lines: dict[str, _LinesByJob] = attrs.field(factory=dict)
     starts: dict[str, list[LogLine]] = attrs.field(factory=dict)
     reported: tuple[str, ...] = ()
+    cuts: int = 0
 
     def second_orders(self) -> int:
         """Return the number of orders of a task after its first one."""
@@ -163,6 +165,7 @@
         reader.read(line)
     play = reader.play
     play.reported = log.reported
+    play.cuts = log.cuts
     for orders in play.orders.values():
         _number(orders)
     return play
--- a/bench/second_runs/summary.py
+++ b/bench/second_runs/summary.py
@@ -37,7 +37,8 @@
     guard had reported to the entry, None without any. ``undated`` counts the
     runs without a margin, ``overlaps`` the first runs that lists show at work
     after the start of the second one. ``reported`` holds the lines of the bench
-    about two runs of a task.
+    about two runs of a task. ``cuts`` counts the writes of which lines are
+    missing in the log, so that runs may seem to have no end.
     """
 
     log: str
@@ -53,6 +54,7 @@
     accepted_twice: int
     pattern_jobs: list[str]
     reported: list[str]
+    cuts: int = 0
 
 
 def play_name(path: pathlib.Path) -> PlayName:
@@ -116,6 +118,7 @@
         len(accepted_twice(play)),
         [job for job in play.accepted() if is_reported_id(job)],
         list(play.reported),
+        play.cuts,
     )
 
 
--- a/tests/bench/test_second_runs.py
+++ b/tests/bench/test_second_runs.py
@@ -43,7 +43,13 @@
         stamp = round((1000 + time_s) * 1_000_000)
         column = format(time_s if column_s is None else column_s, '9.4f')
         line = format_line(
-            {'t': stamp, 'level': 'info', 'event': event, **fields}
+            {
+                't': stamp,
+                'level': 'info',
+                'event': event,
+                'process': process,
+                **fields,
+            }
         )
         self.lines.append(f'{column} {process} {line}')
 
@@ -311,6 +317,25 @@
     assert times == pytest.approx([1, 1.08, 1.1, 1.2, 1.2])
 
 
+def test_cut_writes_are_counted_and_their_rest_is_read(text):
+    """Guards against half a line that is read as a whole one.
+
+    The bench cuts writes over 8 KB in the middle of a line, which ends in the
+    next one, and the next write of the process begins without a column.
+    """
+    text.write(1, 'g1', 'a')
+    text.write(1.05, 'g1', 'cut', column_s=1)
+    text.write(1.06, 'g2', 'b')
+    text.write(1.2, 'g1', 'c')
+    text.write(1.23, 'g1', 'd', column_s=1.2)
+    first, cut, other = text.lines[:3]
+    bare = text.lines[3][text.lines[3].index('t=') :]
+    play = read_play((first, cut[:-8] + other, bare, text.lines[4]))
+    lines = [(line.event, line.time_s) for line in play.lines]
+    assert lines == [('a', 1), ('b', 1.06), ('c', 1.2), ('d', 1.23)]
+    assert play.cuts == 1
+
+
 def test_other_output_of_the_bench_is_skipped(text):
     """Guards against a report that cannot be read for its other lines."""
     text.lines.append('built in 4.6 s; 33772 lines in 338 files')
