Log the ends of runs that expired sessions no longer report

`run_end_unreported` names each end that an expired session had not delivered, and each one after its expiry. Ends that were acknowledged have no line.

--- a/bench/second_runs/margins.py
+++ b/bench/second_runs/margins.py
@@ -18,6 +18,10 @@
 _MS_PER_SECOND = 1000.0
 _NEVER_STARTED_PROOFS = frozenset(('not_started', 'start_refused'))
 _NEVER_STARTED_OUTCOMES = frozenset(('refused', 'outrun'))
+# A line of the first one is preferred, as it dates the leases.
+_END_EVENTS = frozenset(
+    ('run_end_proved', 'revoked_run_ended', 'run_end_unreported'),
+)
 _WITHDRAWN = 'withdrawn before its start'
 _SILENT_GUARD = 'lease of the guard expired'
 _UNLISTED = 'run is unknown to the guard'
@@ -202,7 +206,7 @@
 
 
 def _is_end(line: LogLine) -> bool:
-    return line.event in {'run_end_proved', 'revoked_run_ended'}
+    return line.event in _END_EVENTS
 
 
 def _listed_s(play: Play, order: Order, second: Order) -> float:
@@ -225,6 +229,8 @@
     proofs = [line for line in ends if line.event == 'run_end_proved']
     end = proofs[-1] if proofs else ends[-1]
     proof = end.fields.get('proof', end.fields.get('detail', ''))
+    if end.event == 'run_end_unreported':
+        proof = 'unreported: {0}'.format(end.fields.get('outcome'))
     if proof in _NEVER_STARTED_PROOFS or proof == _WITHDRAWN:
         return Moment(None, NEVER_STARTED, proof)
     left_ms = end.number('lease_left_ms')
--- a/bench/second_runs/orders.py
+++ b/bench/second_runs/orders.py
@@ -12,6 +12,7 @@
 _RUN_EVENTS = frozenset(
     (
         'run_end_proved',
+        'run_end_unreported',
         'revoked_run_ended',
         'orphan_stopped',
         'stopped_run_listed',
--- a/src/borageward/runs/endings.py
+++ b/src/borageward/runs/endings.py
@@ -221,6 +221,24 @@
     )
 
 
+def log_unreported(
+    log: EventLog,
+    entry: str,
+    ref: RunRef,
+    outcome: RunOutcome,
+) -> None:
+    """Report that no session is left to report the end of a run to an entry."""
+    log.event(
+        'run_end_unreported',
+        job=ref.task.job_id,
+        step=ref.task.step,
+        task=ref.task.index,
+        run=ref.run,
+        entry=entry,
+        outcome=outcome.value,
+    )
+
+
 def _list_age(lists: ListTime | None, now_ms: Milliseconds) -> int | str:
     return _UNKNOWN if lists is None else round(now_ms - lists.requested_ms)
 
--- a/src/borageward/runs/sessionserver.py
+++ b/src/borageward/runs/sessionserver.py
@@ -20,7 +20,7 @@
     StopRuns,
     TaskKey,
 )
-from borageward.runs.endings import log_refusal
+from borageward.runs.endings import log_refusal, log_unreported
 from borageward.runs.endpointstate import EndpointStates
 from borageward.runs.incarnations import EndpointMonitor
 from borageward.runs.link import EntryLink
@@ -101,7 +101,9 @@
         entry may start the task elsewhere from then on.
         """
         session = self._sessions.find(run.session)
-        if session is not None:
+        if session is None:
+            log_unreported(self._log, run.session, run.ref, outcome)
+        else:
             session.add_end(run.ref, outcome, detail)
         for entry, ref in self._refusals.pop(run.ref.task):
             refused = self._sessions.find(entry)
@@ -318,6 +320,8 @@
         link = session.link
         session.link = None
         self._sessions.remove(session)
+        for end in session.unacknowledged:
+            log_unreported(self._log, session.entry, end.ref, end.outcome)
         expiry_ms = session.authority_end_ms
         self._revoke_runs(session, expiry_ms, 'session_expired')
         return link
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -368,6 +368,11 @@
             '`limit_left_ms` the time left until the entry may start the task '
             'again without a report.',
         ),
+        'run_end_unreported': _info(
+            'job, step, task, run, entry, outcome',
+            'The session of the entry expired before it acknowledged the end '
+            'of the run, so the entry takes the run for unknown to the guard.',
+        ),
         'repeated_start': _info(
             'job, step, task, run, entry, stage, sent_ms',
             'The start of run 2 or higher of a task is `sent`, `confirmed` by '
--- a/tests/bench/test_second_runs.py
+++ b/tests/bench/test_second_runs.py
@@ -244,6 +244,15 @@
     assert not found.overlaps
 
 
+def test_unreported_end_dates_the_last_work(text):
+    """Guards against a done run that counts as one that never started."""
+    repeat(text, 'run is unknown to the guard')
+    text.run(3.7, 'g1', 'run_end_unreported', outcome='done')
+    found = text.found()
+    assert found.basis == 'guard'
+    assert found.margin_ms == pytest.approx(300)
+
+
 def test_run_in_doubt_is_not_called_ignored(text):
     """Guards against a run at work that another ignored order hides."""
     repeat(text, 'run is unknown to the guard')
--- a/tests/runs/test_run_log.py
+++ b/tests/runs/test_run_log.py
@@ -285,6 +285,35 @@
         assert not guard.log.of('stopped_run_listed')
 
 
+async def test_end_that_is_not_reported_has_a_line(autojump_clock):
+    """Guards against a done run that looks like an order that never arrived.
+
+    The entry is silent until its session expires, so it learns of neither end,
+    and takes both runs for unknown. One ends before the expiry, one after it.
+    """
+    async with running_guard(work_ms=400) as (guard, endpoint, entry, _nursery):
+        await entry.start(0)
+        await trio.sleep(0.1)
+        endpoint.work_ms = 9000
+        await entry.start(1)
+        entry.frozen = True
+        await trio.sleep(2)
+        lines = guard.log.of('run_end_unreported')
+        ends = {item['task']: item['outcome'] for item in lines}
+        assert ends == {0: 'done', 1: 'lost'}
+
+
+async def test_acknowledged_ends_have_no_line(autojump_clock):
+    """Guards against a line for each run of an entry that leaves later."""
+    async with running_guard() as (guard, _, entry, _nursery):
+        await entry.start(0, 1)
+        await trio.sleep(1)
+        entry.frozen = True
+        await trio.sleep(5)
+        assert guard.log.of('session_expired')
+        assert not guard.log.of('run_end_unreported')
+
+
 class Ending:
     """Ends runs in a run log whose clock is set by hand."""
 
