Extend the limit of runs a moment after an entry stood still

A run outlasts the repetition of its job by up to 0.1 s when its entry stood still for 0.88 s, returns a stamp of the guard and stops the run 20 ms later, at an endpoint that leaves stops unanswered.

Cause: the guard extends the lease by the echo at once and cannot take it back. So far it relied on entries to send the stop first.

Change: the first echo after more than 450 ms without one, from an entry that has runs, keeps the session open but extends the limit on the runs only 100 ms later. The lease is renewed then. A stop that comes within this time bounds the lease. One that comes later than 100 ms after its echo is still not covered.

--- a/src/borageward/runs/sessions.py
+++ b/src/borageward/runs/sessions.py
@@ -24,6 +24,13 @@
 UNLINKED_TIMEOUT_MS = 250.0
 # A session without runs has no authority to lose, and is kept for longer.
 _IDLE_SESSION_TIMEOUT_MS = 3000.0
+# An entry with runs that is heard of after a longer silence stood still or was
+# cut off. A live one echoes a state within 450 ms: states are sent every 300 ms
+# and echoed if they are 150 ms newer than the last echoed one.
+_STILL_MS = 450.0
+# An entry that stood still may echo a state this long before it stops the runs
+# of callers that have left meanwhile.
+ECHO_HOLD_MS = 100.0
 _SESSION_ID_BYTES = 6
 # Shortest and longest time between two checks for expired sessions.
 _MIN_EXPIRY_WAIT_MS = 30.0
@@ -52,7 +59,10 @@
     gets another one, whose ends are numbered from the beginning. ``attempt`` is
     the number of the entry's connection that holds the session.
     ``echoed_ms`` is the newest time stamp of this guard that the entry has
-    echoed, from which ``limits`` count. ``state_sent_ms`` is the time of the
+    echoed, from which ``limits`` count. The limit on its runs counts from
+    ``settled_ms``, the newest one that no stop may follow any more. Echoes
+    settle at ``held_until_ms`` at the earliest, and the last one came at
+    ``heard_ms``. ``state_sent_ms`` is the time of the
     last state sent to it, ``sent_version`` the number of changes that this
     state contained, and ``last_order`` the number of its last start request.
     ``unlinked_ms`` is the time when its last link was lost.
@@ -64,6 +74,9 @@
     entry: str
     echoed_ms: Milliseconds
     limits: AuthorityLimits
+    settled_ms: Milliseconds = attrs.field(init=False)
+    heard_ms: Milliseconds = attrs.field(init=False)
+    held_until_ms: Milliseconds = -math.inf
     session_id: str = attrs.field(factory=_new_session_id)
     attempt: int = 0
     link: SessionLink | None = None
@@ -75,6 +88,11 @@
     sent_version: int = -1
     unlinked_ms: Milliseconds = -math.inf
 
+    def __attrs_post_init__(self) -> None:
+        """Count from the time when the session was opened."""
+        self.settled_ms = self.echoed_ms
+        self.heard_ms = self.echoed_ms
+
     @property
     def authority_end_ms(self) -> Milliseconds:
         """Return the time in ms until which runs may start and go on."""
@@ -83,16 +101,37 @@
     @property
     def run_limit_ms(self) -> Milliseconds:
         """Return the time in ms by which all runs of the session have ended."""
-        return self.echoed_ms + self.limits.run_limit_ms
+        return self.settled_ms + self.limits.run_limit_ms
 
     @property
     def has_unreported(self) -> bool:
         """Return whether run ends remain to be sent on the current link."""
         return self.last_end > self.reported_end
 
-    def extend(self, echoed_ms: Milliseconds) -> None:
-        """Extend the session from a time stamp that the entry has echoed."""
+    def extend(
+        self,
+        echoed_ms: Milliseconds,
+        now_ms: Milliseconds,
+        *,
+        has_runs: bool,
+    ) -> bool:
+        """Extend the session from a time stamp that the entry has echoed.
+
+        After a silence the limit on its runs is extended later, by ``settle``.
+        Returns whether such a time begins with this echo.
+        """
+        begins_hold = has_runs and now_ms - self.heard_ms > _STILL_MS
+        if begins_hold:
+            self.held_until_ms = now_ms + ECHO_HOLD_MS
+        self.heard_ms = now_ms
         self.echoed_ms = max(self.echoed_ms, echoed_ms)
+        self.settle(now_ms)
+        return begins_hold
+
+    def settle(self, now_ms: Milliseconds) -> None:
+        """Extend the limit on the runs unless echoes are held back."""
+        if now_ms >= self.held_until_ms:
+            self.settled_ms = self.echoed_ms
 
     def add_end(
         self,
--- a/src/borageward/runs/sessionserver.py
+++ b/src/borageward/runs/sessionserver.py
@@ -14,12 +14,12 @@
     RunOutcome,
     RunRef,
     RunsEnded,
-    SessionHeartbeat,
     SessionOpened,
     StartRuns,
     StopRuns,
     TaskKey,
 )
+from borageward.runs.echoes import Echoes
 from borageward.runs.endpointstate import EndpointStates
 from borageward.runs.incarnations import EndpointMonitor
 from borageward.runs.link import EntryLink
@@ -63,6 +63,7 @@
         self._states = EndpointStates(table, self._sessions, clock)
         self._by_link: dict[EntryLink, Session] = {}
         self._refusals = PendingRefusals()
+        self._echoes = Echoes(table, clock, self._supervisor)
         self._monitor: EndpointMonitor | None = None
         self._changed = trio.Event()
         # Number of changes of the state.
@@ -148,7 +149,7 @@
             return
         session = self._by_link.get(link)
         if session is not None and session.link is link:
-            self._handle_session_message(session, message)
+            self._handle_session_message(nursery, session, message)
         elif isinstance(message, StartRuns):
             self._log.warning(
                 'order_ignored',
@@ -216,17 +217,23 @@
         return None if self._monitor is None else self._monitor.supervisor
 
     def _handle_session_message(
-        self, session: Session, message: EntryMessage
+        self,
+        nursery: trio.Nursery,
+        session: Session,
+        message: EntryMessage,
     ) -> None:
+        if isinstance(message, StopRuns):
+            self._handle_stops(session, message)
+            return
+        if isinstance(message, OpenSession):
+            return
+        self._echoes.extend(nursery, session, message.echoed_ms)
         if isinstance(message, StartRuns):
             self._handle_starts(session, message)
-        elif isinstance(message, StopRuns):
-            self._handle_stops(session, message)
-        elif isinstance(message, SessionHeartbeat):
-            session.extend(message.echoed_ms)
-            session.acknowledge(message.seen_end)
-            if self._table.has_waiting(session.entry):
-                self._admit()
+            return
+        session.acknowledge(message.seen_end)
+        if self._table.has_waiting(session.entry):
+            self._admit()
 
     def _admit(self) -> None:
         supervisor = self._supervisor()
@@ -235,7 +242,6 @@
 
     def _handle_starts(self, session: Session, message: StartRuns) -> None:
         session.last_order = message.order
-        session.extend(message.echoed_ms)
         timeout_ms = self._table.limits.session_timeout_ms
         refusal_detail = ''
         if message.echoed_ms < self._clock.now_ms() - timeout_ms:
--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -199,7 +199,7 @@
         self._speed.project(projected_ratios(self._table, now_ms))
         self._stop_stalled()
         if was_limited and not is_lease_limited(self._table, now_ms):
-            self._spawn(self._poll_now)
+            self._spawn(self.poll_now)
 
     def end(self, run: Run, outcome: RunOutcome, detail: str) -> None:
         """Remove a run from the table and report its end, but only once."""
@@ -225,6 +225,11 @@
             )
         self._on_end(run, outcome, detail)
 
+    async def poll_now(self) -> None:
+        """Renew the lease and read the lists at once."""
+        if self._read_lists is not None:
+            await self._read_lists()
+
     def _spawn(
         self, function: Callable[..., Awaitable[None]], *args: object
     ) -> None:
@@ -252,13 +257,13 @@
         if isinstance(reply, Failure):
             run.void_after_ms = request.lease_end_ms
             self._mark_unsettled(run, reply)
-            await self._poll_now()
+            await self.poll_now()
             return
         # A refusal is also returned when the endpoint could not be connected
         # to. The poll finds that out, so that the entry learns with the end of
         # the run whether the endpoint takes other work.
         if reply is StartReply.REFUSED:
-            await self._poll_now()
+            await self.poll_now()
         else:
             self._endpoint.record_start_reply()
         if run.state is not RunState.STARTING:
@@ -313,14 +318,10 @@
                 run.state = RunState.STOPPING
                 run.confirmed_ms = self._clock.now_ms()
                 run.stop_confirmed = failure is None
-                await self._poll_now()
+                await self.poll_now()
         if run.state is RunState.STOPPING and not run.stop_confirmed:
             await self._stop(run)
 
-    async def _poll_now(self) -> None:
-        if self._read_lists is not None:
-            await self._read_lists()
-
     async def _stop(self, run: Run) -> None:
         while self._table.find(run.ref) is run:
             failure = await self._endpoint.port.stop(
@@ -344,7 +345,7 @@
         run.stop_confirmed = True
         run.confirmed_ms = now_ms
         if is_lease_limited(self._table, now_ms):
-            await self._poll_now()
+            await self.poll_now()
 
     def _handle_end(self, ended: EndedRun) -> None:
         if ended.number <= self._endpoint.seen_end:
--- a/tests/runs/test_repeated_jobs.py
+++ b/tests/runs/test_repeated_jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 import trio
 
 from borageward.messages.runs import SessionHeartbeat, StopRuns
@@ -123,3 +124,48 @@
         )
         await trio.sleep(REPEAT_S - STILL_S)
         assert endpoint.lease_expired
+
+
+@pytest.mark.parametrize('later_ms', [20, 50])
+@pytest.mark.parametrize('still_ms', range(600, 900, 20))
+async def test_stop_that_follows_its_echo_ends_the_run_in_time(
+    still_ms, later_ms, autojump_clock
+):
+    """Guards against a lease that a guard grants before it reads the stop.
+
+    The entry stood still when the caller's connection broke. It returns the
+    newest stamp first, and the stop of the run arrives some time later.
+    """
+    async with running_guard(work_ms=9000) as (_, endpoint, entry, _nursery):
+        await entry.start(0)
+        await trio.sleep(0.5)
+        endpoint.unanswered_stops = 1000
+        await echo_next_state(entry)
+        caller_ms = entry.state.stamp_ms
+        entry.silent = True
+        await trio.sleep(still_ms / 1000)
+        await entry.connection.send(SessionHeartbeat(entry.state.stamp_ms, 0))
+        await trio.sleep(later_ms / 1000)
+        await entry.connection.send(StopRuns((ref(0),), caller_ms))
+        await trio.sleep(REPEAT_S - (still_ms + later_ms) / 1000)
+        assert endpoint.lease_expired
+
+
+@pytest.mark.parametrize('still_ms', [500, 700, 850])
+async def test_runs_of_an_entry_that_stood_still_for_a_moment_go_on(
+    still_ms, autojump_clock
+):
+    """Guards against healthy runs that lapse because of a short standstill.
+
+    The first echo after it extends the lease only a moment later.
+    """
+    async with running_guard(work_ms=3000) as (_, endpoint, entry, _nursery):
+        await entry.start(0)
+        await trio.sleep(0.5)
+        await echo_next_state(entry)
+        entry.silent = True
+        await trio.sleep(still_ms / 1000)
+        await entry.connection.send(SessionHeartbeat(entry.state.stamp_ms, 0))
+        entry.silent = False
+        await trio.sleep(3)
+        assert entry.outcomes() == {(0, 1): 'done'}
