Forget the time stamps of a guard that has started again

A guard whose host had lost its power counts its stamps from zero again (CLOCK_BOOTTIME). For the first two checks of its link, 200 ms, the entry named stamps of the former guard in its stops. They are in the future of the new one, so the bound by the caller's time did not apply, and an unanswered stop left a run 800 ms from its arrival instead.

Change: the link drops the state and the checked stamps when another process of the guard opens its session.

Result: test_stop_names_no_time_of_a_former_guard failed before (a stamp 999.9 s ahead); tests/dispatch passes.

--- a/src/borageward/dispatch/guardlink.py
+++ b/src/borageward/dispatch/guardlink.py
@@ -88,6 +88,8 @@
         self._last_received_ms: Milliseconds = 0
         self._last_renewal_ms: Milliseconds = 0
         self._stamps = CheckedStamps()
+        # The process of the guard that the stamps are of.
+        self._guard = ''
         # Time after the last heartbeat by which all runs have ended.
         self._run_limit_ms: Milliseconds = math.inf
 
@@ -273,6 +275,11 @@
     def _handle_opened(self, message: SessionOpened) -> None:
         self._unanswered_since_ms = math.inf
         self._echoed_ms = -math.inf
+        if message.guard != self._guard:
+            # Its clock may have begun anew.
+            self._guard = message.guard
+            self._state = None
+            self._stamps = CheckedStamps()
         self._run_limit_ms = message.run_limit_ms + _RUN_LIMIT_MARGIN_MS
         self.stop(self._runs.reconcile(message))
         self._log.event(
--- a/tests/dispatch/test_guardlink.py
+++ b/tests/dispatch/test_guardlink.py
@@ -46,11 +46,14 @@
         self.echoes_before_stop = 0
         self.connection = None
         self.run_limit_ms = 1200
+        # Process of the guard, and how far its clock is ahead.
+        self.process = 'g'
+        self.ahead_ms = 0
 
     def state(self):
         """Return the state of an idle endpoint."""
         return EndpointState(
-            trio.current_time() * 1000,
+            trio.current_time() * 1000 + self.ahead_ms,
             self.last_order,
             'e',
             'pool',
@@ -91,7 +94,9 @@
         if not self.opens:
             return
         await connection.send(
-            SessionOpened('g', True, self.refs, 's', self.run_limit_ms),
+            SessionOpened(
+                self.process, True, self.refs, 's', self.run_limit_ms
+            ),
         )
         await connection.send(self.state())
 
@@ -312,3 +317,27 @@
         while len(guard.echoed_ms) == echoes or not guard.stopped:
             await trio.sleep(0.01)
     assert guard.echoes_before_stop == echoes
+
+
+async def test_stop_names_no_time_of_a_former_guard(linked):
+    """Guards against a run that outlasts the repetition of its job.
+
+    The host of the guard lost its power, and its clock has begun anew. A time
+    of the former guard is in the future of the new one, and bounds nothing.
+    """
+    guard, link = linked
+    link.check()
+    guard.process = 'h'
+    guard.ahead_ms = -1_000_000
+    await guard.connection.close()
+    with trio.fail_after(10):
+        while link.is_open:
+            await trio.sleep(0.001)
+        while not link.is_open:
+            await trio.sleep(0.001)
+    order(link, 0)
+    link.stop([RunRef(TaskKey('job', 0, 0, 0), 1)])
+    with trio.fail_after(10):
+        while not guard.stopped:
+            await trio.sleep(0.01)
+    assert guard.caller_ms <= guard.state().stamp_ms
