Wait between the stops that settle an unanswered start

While an endpoint refused connections, a guard that was settling an unanswered start sent stops without a pause, up to 0.7 s until the lease of the start had ended. A guard that is busy so answers its entries late.

Result: test_start_at_a_crashed_endpoint_is_settled_without_haste failed before (60 stops within the first moments); tests/runs/test_settled_runs.py passes.

--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -319,6 +319,8 @@
                 run.confirmed_ms = self._clock.now_ms()
                 run.stop_confirmed = failure is None
                 await self.poll_now()
+            else:
+                await self._clock.sleep_ms(_FAILED_STOP_RETRY_MS)
         if run.state is RunState.STOPPING and not run.stop_confirmed:
             await self._stop(run)
 
