Test late starts where guard and endpoint have both started again

A start of the former guard is carried out 0 to 60 ms after the new guard has begun, by an endpoint that has started again under its id. Before the new fence the run is found and stopped before a session opens, after it the start is refused.

Not covered, as no call of a guard can bar it: the endpoint answers nothing for a second, so that the session opens by time, and carries the start out later.

--- a/tests/runs/test_restarted_guards.py
+++ b/tests/runs/test_restarted_guards.py
@@ -104,3 +104,41 @@
             await trio.sleep(0.001)
             assert not opened or not is_at_work(endpoint, ref(0))
         assert not is_at_work(endpoint, ref(0))
+
+
+@pytest.mark.parametrize('late_ms', [0, 2, 4, 8, 20, 60])
+async def test_late_start_in_a_restarted_endpoint_has_ended_or_is_refused(
+    late_ms, autojump_clock
+):
+    """Guards against a start that outlives its guard and its endpoint.
+
+    Both start again, the endpoint under its id and with another clock, so that
+    the start is not too late for it. It is refused or stopped by the next guard
+    before that opens a session.
+    """
+    async with running_guard(work_ms=9000) as (guard, endpoint, entry, nursery):
+        endpoint.unanswered_starts = 1
+        endpoint.apply_unanswered_starts = False
+        await entry.start(0)
+        await trio.sleep(0.02)
+        guard.scope.cancel()
+        restart_endpoint(endpoint)
+        again = await start_again(endpoint, nursery)
+        nursery.start_soon(apply_late, endpoint, late_ms)
+        await open_session(again, nursery)
+        assert not is_at_work(endpoint, ref(0))
+        await trio.sleep(0.3)
+        assert not is_at_work(endpoint, ref(0))
+
+
+def restart_endpoint(endpoint):
+    """Let an endpoint start again, at the Unix time that its clocks show."""
+    unix_ms = endpoint.born_ms + endpoint._now_ms()
+    endpoint.start_again()
+    endpoint._born_ms = unix_ms
+
+
+async def apply_late(endpoint, late_ms):
+    """Carry out the unanswered starts after some time."""
+    await trio.sleep(late_ms / 1000)
+    endpoint.apply_late_starts()
