Open no session before the endpoint has accepted the new fence

A task starts elsewhere although the start of a former guard may still be carried out: guard and endpoint have started again, the endpoint under its id, and it answers nothing for a while.

Cause: 1,000 ms after its start a guard opened sessions without any list, since the leases of its predecessor have ended by then. An endpoint that has started again has another clock, on which an unanswered start of the former guard is not late, and knows no fence until the new guard's first call that it carries out.

Change: once an endpoint has reported itself, sessions open only after it has listed its runs under the fence of this guard. An entry could not order runs at a guard whose endpoint answers nothing anyway. Its own bound of 1,300 ms goes on: after it, such a start is still not barred.

--- a/src/borageward/runs/incarnations.py
+++ b/src/borageward/runs/incarnations.py
@@ -20,9 +20,9 @@
 from borageward.runs.table import RunTable
 from borageward.telemetry import EventLog
 
-# Time after which all runs that a former guard started have ended: without a
-# guard they end with their lease, on a clock that may be 2% slow. A guard of an
-# earlier release granted up to 900 ms.
+# Time after which all runs that a former guard started have ended, if no
+# endpoint reports itself: without a guard they end with their lease, on a clock
+# that may be 2% slow. A guard of an earlier release granted up to 900 ms.
 _FORMER_RUNS_EXPIRY_MS = 1000.0
 
 PortFactory = Callable[[EndpointStatus], EndpointPort]
@@ -80,9 +80,16 @@
 
     @property
     def is_settled(self) -> bool:
-        """Return whether no run of an earlier guard can still be running."""
+        """Return whether no run of an earlier guard can still be running.
+
+        An endpoint that has reported itself must have listed its runs under the
+        fence of this guard: if it has started again, it may carry out a start
+        of the earlier guard until then.
+        """
         if self._only_own_runs_listed:
             return True
+        if self._supervisor is not None:
+            return False
         return self._clock.now_ms() - self._started_ms > _FORMER_RUNS_EXPIRY_MS
 
     def start(self, nursery: trio.Nursery) -> None:
--- a/tests/runs/test_restarted_guards.py
+++ b/tests/runs/test_restarted_guards.py
@@ -131,6 +131,29 @@
         assert not is_at_work(endpoint, ref(0))
 
 
+async def test_late_start_in_a_silent_restarted_endpoint_precedes_a_session(
+    autojump_clock,
+):
+    """Guards against a session that opens before a late start can be barred.
+
+    The endpoint answers nothing for 1.6 s, and carries the start out after
+    1.1 s. No call of the guard has told it a fence by then.
+    """
+    async with running_guard(work_ms=9000) as (guard, endpoint, entry, nursery):
+        endpoint.unanswered_starts = 1
+        endpoint.apply_unanswered_starts = False
+        await entry.start(0)
+        await trio.sleep(0.02)
+        guard.scope.cancel()
+        restart_endpoint(endpoint)
+        nursery.start_soon(mute, endpoint, 1600)
+        again = await start_again(endpoint, nursery)
+        nursery.start_soon(apply_late, endpoint, 1100)
+        await open_session(again, nursery)
+        assert ref(0) in endpoint.starts
+        assert not is_at_work(endpoint, ref(0))
+
+
 def restart_endpoint(endpoint):
     """Let an endpoint start again, at the Unix time that its clocks show."""
     unix_ms = endpoint.born_ms + endpoint._now_ms()
