Let the probe tell dated margins from bounds and lost lines

An entry orders a task again only after the end of its run, which bounds these. The summary gives the smallest margin that a guard dates apart from bounds, which are rules or times of messages.

--- a/bench/second_runs/margins.py
+++ b/bench/second_runs/margins.py
@@ -243,7 +243,7 @@
 def _bound(play: Play, order: Order, lines: list[LogLine]) -> Moment:
     """Bound the last work of a run whose end its guard has not logged."""
     if order.end is None:
-        return _bound_by_job(play, order, lines)
+        return _bound_by_entry(play, order, lines)
     fields = order.end.fields
     detail = fields.get('detail', '')
     if fields.get('outcome') in _NEVER_STARTED_OUTCOMES:
@@ -261,12 +261,16 @@
     return Moment(order.end.time_s, BOUND, source)
 
 
-def _bound_by_job(play: Play, order: Order, lines: list[LogLine]) -> Moment:
-    """Bound a run by the end of its job at the entry that ordered it.
+def _bound_by_entry(play: Play, order: Order, lines: list[LogLine]) -> Moment:
+    """Bound a run whose end is not logged by what its entry did later.
 
-    A run that is still at work then is revoked, and its end is logged. Without
+    The entry orders a task again only after the end of its run. A run that is
+    at work at the end of its job is revoked, and its end is logged; without
     such lines it was done before.
     """
+    for later in play.orders[order.task]:
+        if later.entry == order.entry and later.time_s > order.time_s:
+            return Moment(later.time_s, BOUND, 'next order of the entry')
     process = order.entry.partition('#')[0]
     ends = [
         line
--- a/bench/second_runs/orders.py
+++ b/bench/second_runs/orders.py
@@ -49,8 +49,9 @@
 
     ``entry`` names the process and counts its lives: a restarted one knows
     nothing of earlier orders. ``end`` is the line with which this entry took
-    the run for ended, unless that was done. An order of several tasks names
-    the highest run only, so ``run`` is taken from ``end`` where there is one.
+    the run for ended, unless that was done. An order that is ``shared`` by
+    several tasks names the highest run only, so ``run`` is taken from ``end``
+    where there is one.
     """
 
     task: TaskId
@@ -58,6 +59,7 @@
     guard: str
     run: int
     time_s: float
+    shared: bool = False
     end: LogLine | None = None
 
     @property
@@ -130,7 +132,8 @@
         self.play.run_lines.setdefault(run_id, []).append(line)
 
     def _read_order(self, line: LogLine) -> None:
-        for index in line.fields['tasks'].split(','):
+        indexes = line.fields['tasks'].split(',')
+        for index in indexes:
             task = attrs.evolve(_task_id(line), index=index)
             order = Order(
                 task,
@@ -138,6 +141,7 @@
                 line.fields['guard'],
                 _run(line),
                 line.time_s,
+                len(indexes) > 1,
             )
             self.play.orders.setdefault(task, []).append(order)
 
@@ -151,8 +155,9 @@
                 return
 
     def _is_end_of(self, line: LogLine, order: Order) -> bool:
-        same_guard = order.guard == line.fields.get('guard')
-        return same_guard and order.entry == self._entry(line)
+        if order.guard != line.fields.get('guard'):
+            return False
+        return order.run >= _run(line) and order.entry == self._entry(line)
 
     def _entry(self, line: LogLine) -> str:
         life = self._lives[line.process]
@@ -181,7 +186,7 @@
     last: dict[str, int] = {}
     for index, order in enumerate(orders):
         run = order.run
-        if order.end is None:
+        if order.end is None and order.shared:
             run = min(run, last.get(order.entry, 0) + 1)
             orders[index] = attrs.evolve(order, run=run)
         last[order.entry] = run
--- a/bench/second_runs/plot.py
+++ b/bench/second_runs/plot.py
@@ -15,8 +15,8 @@
 def plot_margins(summaries: Sequence[Summary], path: pathlib.Path) -> None:
     """Write a PNG with the smallest margins of each play by reason.
 
-    The plays are ordered by the smallest margin without a report of the guard.
-    The rule of one run at a time is broken left of zero.
+    The plays are ordered by the smallest margin that a guard dates and that
+    does not follow its report. The rule is broken left of zero.
     """
     use_backend('Agg')
     from matplotlib import pyplot  # noqa: WPS433
@@ -43,5 +43,5 @@
 
 
 def _smallest(summary: Summary) -> float:
-    margin_ms = summary.smallest_unreported_ms
+    margin_ms = summary.smallest_measured_ms
     return float('inf') if margin_ms is None else margin_ms
--- a/bench/second_runs/summary.py
+++ b/bench/second_runs/summary.py
@@ -10,7 +10,7 @@
 import attrs
 import msgspec
 
-from bench.second_runs.margins import SecondRun
+from bench.second_runs.margins import GUARD, SecondRun
 from bench.second_runs.orders import Play
 
 # The users report one job by the order of the letters in its id.
@@ -34,11 +34,13 @@
 
     ``smallest_ms`` and ``counts`` are by reason and basis of the margin.
     ``smallest_unreported_ms`` is the smallest margin of the runs whose end no
-    guard had reported to the entry, None without any. ``undated`` counts the
-    runs without a margin, ``overlaps`` the first runs that lists show at work
-    after the start of the second one. ``reported`` holds the lines of the bench
-    about two runs of a task. ``cuts`` counts the writes of which lines are
-    missing in the log, so that runs may seem to have no end.
+    guard had reported to the entry, None without any, and
+    ``smallest_measured_ms`` that of those among them which a guard dates.
+    ``undated`` counts the runs without a margin, ``overlaps`` the first runs
+    that lists show at work after the start of the second one. ``reported``
+    holds the lines of the bench about two runs of a task. ``cuts`` counts the
+    writes of which lines are missing in the log, so that runs may seem to have
+    no end.
     """
 
     log: str
@@ -49,6 +51,7 @@
     undated: int
     overlaps: int
     smallest_unreported_ms: float | None
+    smallest_measured_ms: float | None
     smallest_ms: dict[str, float]
     counts: dict[str, int]
     accepted_twice: int
@@ -113,6 +116,7 @@
         sum(item.margin_ms is None for item in found),
         sum(item.overlaps for item in found),
         _smallest_unreported(found),
+        _smallest_unreported(item for item in found if item.basis == GUARD),
         {group: round(ms, 1) for group, ms in smallest.items()},
         dict(collections.Counter(group_name(item) for item in found)),
         len(accepted_twice(play)),
--- a/tests/bench/test_second_runs.py
+++ b/tests/bench/test_second_runs.py
@@ -292,6 +292,27 @@
     assert found.reason == 'ordered by another entry'
 
 
+def test_lost_end_is_bounded_by_the_next_order(text):
+    """Guards against overlaps that are made of lines that the bench has lost.
+
+    An entry orders a task again only after the end of its run.
+    """
+    text.order(1, 'g1')
+    text.order(4, 'g2', run=2)
+    text.write(8, 'e1', 'job_ended', job=JOB, verdict='completed')
+    found = text.found()
+    assert found.margin_ms == pytest.approx(0)
+    assert found.basis == 'bound'
+
+
+def test_end_of_a_later_run_is_not_that_of_an_earlier_one(text):
+    """Guards against runs joined to the wrong order where lines were lost."""
+    text.order(1, 'g1')
+    text.end(5, 'g1', 'stopped', run=3)
+    text.order(6, 'g2', run=4)
+    assert text.found().first.end is None
+
+
 def test_lives_of_an_entry_are_told_apart(text):
     """Guards against a restarted entry that seems to continue its orders."""
     text.write(0, 'e1', 'process_started', role='entry')
@@ -386,10 +407,20 @@
     assert summary.second_orders == 1
     assert summary.smallest_ms == {group: 100}
     assert summary.smallest_unreported_ms == 100
+    assert summary.smallest_measured_ms is None
     assert summary.accepted_twice == 1
     assert not summary.overlaps
 
 
+def test_dated_margin_is_summarized(text):
+    """Guards against bounds that hide the margins that the guards date."""
+    repeat(text, 'lease of the guard expired')
+    text.run(3.2, 'g1', 'run_end_proved', proof='missing', lease_left_ms=9)
+    play = text.play()
+    summary = summarize(PlayName('log'), play, second_runs(play))
+    assert summary.smallest_measured_ms == 800
+
+
 def test_margin_after_a_report_is_kept_apart(text):
     """Guards against small times of messages that hide the other margins."""
     repeat(text, 'stopped')
