Let the probe tell how near each run came to its limit

The margin of a repeated task says nothing where none was repeated. The smallest time from the last lists that show a run to the end of its limit counts all runs whose end is logged.

--- a/bench/second_runs/__main__.py
+++ b/bench/second_runs/__main__.py
@@ -138,6 +138,8 @@
     twice = ' '.join(accepted_twice(play)) or 'none'
     pattern = ' '.join(summary.pattern_jobs) or 'none'
     sys.stdout.write(f'\njobs accepted more than once: {twice}\n')
+    limit_ms = summary.smallest_limit_ms
+    sys.stdout.write(f'smallest time from work to its limit, ms: {limit_ms}\n')
     sys.stdout.write(f'job ids of the reported pattern: {pattern}\n')
     if summary.cuts:
         sys.stdout.write(f'writes that lack lines: {summary.cuts}\n')
--- a/bench/second_runs/margins.py
+++ b/bench/second_runs/margins.py
@@ -111,6 +111,28 @@
     return found
 
 
+def smallest_limit_ms(play: Play) -> float | None:
+    """Return the smallest time from the sure work of a run to its limit.
+
+    The limit is the time after which the entry may start the task again without
+    a report. All runs count whose end is logged, repeated or not. None without
+    any; a run was at work beyond its limit if negative.
+    """
+    lines = [line for found in play.run_lines.values() for line in found]
+    left = [
+        (line.number('limit_left_ms'), line.number('listed_ms'))
+        for line in lines
+    ]
+    return min(
+        (
+            limit_ms + listed_ms
+            for limit_ms, listed_ms in left
+            if limit_ms is not None and listed_ms is not None
+        ),
+        default=None,
+    )
+
+
 def _by_order(found: SecondRun) -> float:
     return found.second.time_s
 
--- a/bench/second_runs/summary.py
+++ b/bench/second_runs/summary.py
@@ -10,7 +10,7 @@
 import attrs
 import msgspec
 
-from bench.second_runs.margins import GUARD, SecondRun
+from bench.second_runs.margins import GUARD, SecondRun, smallest_limit_ms
 from bench.second_runs.orders import Play
 
 # The users report one job by the order of the letters in its id.
@@ -36,6 +36,8 @@
     ``smallest_unreported_ms`` is the smallest margin of the runs whose end no
     guard had reported to the entry, None without any, and
     ``smallest_measured_ms`` that of those among them which a guard dates.
+    ``smallest_limit_ms`` is the smallest time from the sure work of any run to
+    the time when its entry may start the task again without a report.
     ``undated`` counts the runs without a margin, ``overlaps`` the first runs
     that lists show at work after the start of the second one. ``reported``
     holds the lines of the bench about two runs of a task. ``cuts`` counts the
@@ -52,6 +54,7 @@
     overlaps: int
     smallest_unreported_ms: float | None
     smallest_measured_ms: float | None
+    smallest_limit_ms: float | None
     smallest_ms: dict[str, float]
     counts: dict[str, int]
     accepted_twice: int
@@ -117,6 +120,7 @@
         sum(item.overlaps for item in found),
         _smallest_unreported(found),
         _smallest_unreported(item for item in found if item.basis == GUARD),
+        smallest_limit_ms(play),
         {group: round(ms, 1) for group, ms in smallest.items()},
         dict(collections.Counter(group_name(item) for item in found)),
         len(accepted_twice(play)),
--- a/tests/bench/test_second_runs.py
+++ b/tests/bench/test_second_runs.py
@@ -421,6 +421,16 @@
     assert summary.smallest_measured_ms == 800
 
 
+def test_work_beyond_its_limit_is_found_without_a_second_run(text):
+    """Guards against runs that overstay unnoticed, as no task was repeated."""
+    text.order(1, 'g1')
+    text.run(3, 'g1', 'run_end_proved', listed_ms=20, limit_left_ms=-90)
+    text.run(3, 'g1', 'run_end_proved', run=2, listed_ms=5, limit_left_ms=400)
+    text.run(3, 'g1', 'run_end_proved', run=3, listed_ms='-', limit_left_ms=-9)
+    play = text.play()
+    assert summarize(PlayName('log'), play, []).smallest_limit_ms == -70
+
+
 def test_margin_after_a_report_is_kept_apart(text):
     """Guards against small times of messages that hide the other margins."""
     repeat(text, 'stopped')
