Log when a guard has seen the end of the runs of a former one

Sessions open by lists or after 1,000 ms, and no line told which and when.

`former_runs_ended` dates it. The probe takes it for the end of such runs, and otherwise bounds them by the lease of the former guard, 800 ms after the start of the new one.

--- a/bench/second_runs/margins.py
+++ b/bench/second_runs/margins.py
@@ -4,6 +4,7 @@
 
 import operator
 import re
+from collections.abc import Mapping
 
 import attrs
 
@@ -13,6 +14,8 @@
 # Runs whose guard reports nothing end by 1,200 ms after the newest echo of
 # their entry, which starts the task again after 1,300 ms.
 _AUTHORITY_MARGIN_S = 0.1
+# The longest lease that a guard grants.
+_LEASE_S = 0.8
 # Time that a run may take to end once its lease is over.
 _STOP_MARGIN_MS = 60.0
 _MS_PER_SECOND = 1000.0
@@ -275,12 +278,36 @@
     if detail == _SILENT_GUARD:
         time_s = order.end.time_s - _AUTHORITY_MARGIN_S
         return Moment(time_s, BOUND, 'authority of the guard')
-    source = 'report of the guard'
     if detail == _UNLISTED:
-        source = 'session without the run'
-        if _has_restarted(play, order):
-            source = 'session of a restarted guard'
-    return Moment(order.end.time_s, BOUND, source)
+        return _bound_by_session(play, order, order.end)
+    return Moment(order.end.time_s, BOUND, 'report of the guard')
+
+
+def _bound_by_session(play: Play, order: Order, end: LogLine) -> Moment:
+    """Bound a run that is missing in a new session, which has no line of it.
+
+    A guard that has started since opens sessions once lists show no runs of the
+    former guard, or when the leases of that have ended.
+    """
+    starts = _between(order, end, play.starts)
+    if not starts:
+        return Moment(end.time_s, BOUND, 'session without the run')
+    settled = _between(order, end, play.settled)
+    if settled and settled[-1].time_s > starts[-1].time_s:
+        return Moment(settled[-1].time_s, GUARD, 'lists of a restarted guard')
+    time_s = min(end.time_s, starts[-1].time_s + _LEASE_S)
+    return Moment(time_s, BOUND, 'leases of a former guard')
+
+
+def _between(
+    order: Order, end: LogLine, lines: Mapping[str, list[LogLine]]
+) -> list[LogLine]:
+    """Return the lines of a guard between an order to it and an end."""
+    return [
+        line
+        for line in lines.get(order.guard, [])
+        if order.time_s < line.time_s <= end.time_s
+    ]
 
 
 def _bound_by_entry(play: Play, order: Order, lines: list[LogLine]) -> Moment:
@@ -311,15 +338,6 @@
     )
 
 
-def _has_restarted(play: Play, order: Order) -> bool:
-    """Return whether the guard started between an order and its end."""
-    end = order.end
-    return end is not None and any(
-        order.time_s < line.time_s <= end.time_s
-        for line in play.starts.get(order.guard, [])
-    )
-
-
 def _second_start(play: Play, order: Order) -> Moment:
     """Return the earliest time at which a repeated run may have started."""
     lines = [
--- a/bench/second_runs/orders.py
+++ b/bench/second_runs/orders.py
@@ -72,8 +72,9 @@
 class Play:
     """Orders of all tasks and the lines about their runs and jobs.
 
-    ``job_lines`` holds the other lines about jobs by event and job, and
-    ``starts`` the lines of the starts of each process. ``cuts`` counts the
+    ``job_lines`` holds the other lines about jobs by event and job. ``starts``
+    has the lines of the starts of each process, and ``settled`` those of guards
+    whose lists show no runs of an earlier guard. ``cuts`` counts the
     writes from which the bench has lost lines.
     """
 
@@ -81,6 +82,7 @@
     run_lines: dict[RunId, list[LogLine]] = attrs.field(factory=dict)
     job_lines: dict[str, _LinesByJob] = attrs.field(factory=dict)
     starts: dict[str, list[LogLine]] = attrs.field(factory=dict)
+    settled: dict[str, list[LogLine]] = attrs.field(factory=dict)
     reported: tuple[str, ...] = ()
     cuts: int = 0
 
@@ -121,6 +123,8 @@
     def _read_other(self, line: LogLine) -> None:
         if line.event == 'run_not_done':
             self._read_end(line)
+        if line.event == 'former_runs_ended':
+            self.play.settled.setdefault(line.process, []).append(line)
         if line.event in _JOB_EVENTS:
             of_event = self.play.job_lines.setdefault(line.event, {})
             of_event.setdefault(line.fields['job'], []).append(line)
--- a/src/borageward/runs/incarnations.py
+++ b/src/borageward/runs/incarnations.py
@@ -296,10 +296,22 @@
         self._ignore_successor(requested_ms)
         supervisor.observe(lists, requested_ms)
         if all(self._table.find(item.ref) for item in lists.running):
-            self._only_own_runs_listed = True
+            self._settle(requested_ms)
         supervisor.admit()
         self._on_change()
 
+    def _settle(self, requested_ms: Milliseconds) -> None:
+        """Open sessions from now on: lists have shown own runs only."""
+        if self._only_own_runs_listed:
+            return
+        self._only_own_runs_listed = True
+        now_ms = self._clock.now_ms()
+        self._log.event(
+            'former_runs_ended',
+            after_ms=round(now_ms - self._started_ms),
+            list_age_ms=round(now_ms - requested_ms),
+        )
+
     def _ignore_successor(self, requested_ms: Milliseconds) -> None:
         """Drop the report of a successor that an answer has disproved.
 
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -368,6 +368,11 @@
             '`limit_left_ms` the time left until the entry may start the task '
             'again without a report.',
         ),
+        'former_runs_ended': _info(
+            'after_ms, list_age_ms',
+            'Lists show no runs of a former guard, `after_ms` after the start '
+            'of this one; sessions open from then on, or after 1,000 ms.',
+        ),
         'run_end_unreported': _info(
             'job, step, task, run, entry, outcome',
             'The session of the entry expired before it acknowledged the end '
--- a/tests/bench/test_second_runs.py
+++ b/tests/bench/test_second_runs.py
@@ -253,6 +253,29 @@
     assert found.margin_ms == pytest.approx(300)
 
 
+def test_run_of_a_killed_guard_is_dated_by_the_lists_of_the_next(text):
+    """Guards against runs of killed guards whose margin is not measured."""
+    repeat(text, 'run is unknown to the guard')
+    text.write(3, 'g1', 'process_started', role='guard')
+    text.write(3.2, 'g1', 'former_runs_ended', after_ms=200)
+    found = text.found()
+    assert found.last_work.source == 'lists of a restarted guard'
+    assert found.margin_ms == pytest.approx(800)
+
+
+def test_run_of_a_killed_guard_is_bounded_by_its_leases(text):
+    """Guards against a session that opened by time and seems to rest on lists.
+
+    The lists of the guard's first life say nothing of the second one.
+    """
+    repeat(text, 'run is unknown to the guard')
+    text.write(0, 'g1', 'former_runs_ended', after_ms=200)
+    text.write(2.9, 'g1', 'process_started', role='guard')
+    found = text.found()
+    assert found.basis == 'bound'
+    assert found.margin_ms == pytest.approx(300)
+
+
 def test_run_in_doubt_is_not_called_ignored(text):
     """Guards against a run at work that another ignored order hides."""
     repeat(text, 'run is unknown to the guard')
--- a/tests/runs/test_run_log.py
+++ b/tests/runs/test_run_log.py
@@ -5,12 +5,13 @@
 import types
 
 import trio
+from trio.testing import wait_all_tasks_blocked
 
 from borageward.clock import SystemClock
 from borageward.messages.runs import RunOutcome
 from borageward.runs.endings import EndProof, ListTime, ProofKind, RunLog
 from borageward.runs.port import EndpointLists, ListedRun
-from tests.runs.guardharness import RecordingLog, ref, running_guard
+from tests.runs.guardharness import Guard, RecordingLog, ref, running_guard
 
 UNKNOWN = '-'
 
@@ -314,6 +315,29 @@
         assert not guard.log.of('run_end_unreported')
 
 
+async def test_end_of_former_runs_is_dated(autojump_clock):
+    """Guards against runs of a killed guard whose end cannot be dated.
+
+    Entries start the tasks again as soon as the next guard opens sessions.
+    """
+    async with running_guard(work_ms=9000) as (guard, endpoint, entry, nursery):
+        assert only(guard, 'former_runs_ended')['after_ms'] < 100
+        await entry.start(0)
+        await trio.sleep(0.3)
+        guard.scope.cancel()
+        next_guard = Guard(endpoint, nursery)
+        nursery.start_soon(next_guard.run)
+        await wait_all_tasks_blocked()
+        next_guard.monitor.report(endpoint.status())
+        await trio.sleep(0.5)
+        assert not endpoint.running
+        orphan = only(next_guard, 'orphan_stopped')
+        assert orphan['ended_ms'] == UNKNOWN
+        fields = only(next_guard, 'former_runs_ended')
+        assert fields['after_ms'] < 400
+        assert fields['list_age_ms'] <= fields['after_ms']
+
+
 class Ending:
     """Ends runs in a run log whose clock is set by hand."""
 
