Let the model play power losses of guards and impaired endpoints

A call without a fence is a kind of its own (read), so that an endpoint can answer the first read of a new guard and nothing more. Two assumptions on cuts are corrected: one that holds back only what an entry sends does not hold back the ends of its callers' connections, and an entry that is cut off from its callers is not called. A stop takes up to 50 ms (stop_grace_ms), where the model had 40.

--- a/tests/model/__main__.py
+++ b/tests/model/__main__.py
@@ -21,6 +21,7 @@
     parser.add_argument('count', type=int)
     parser.add_argument('--trace', action='store_true')
     parser.add_argument('--no-late-notices', action='store_true')
+    parser.add_argument('--extra', action='store_true')
     options = parser.parse_args()
     began = time.monotonic()
     failed = []
@@ -29,6 +30,7 @@
         result = run_seed(
             seed,
             late_notices=not options.no_late_notices,
+            extra=options.extra,
         )
         starts += result.starts
         if result.breaches:
--- a/tests/model/endpoints.py
+++ b/tests/model/endpoints.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import collections
+import math
+
 import trio
 
 from borageward.clock import SystemClock
@@ -16,8 +19,8 @@
 _SHORTEST_WAIT_S = 0.001
 _EPOCH_MS = 1_700_000_000_000
 _UPTIME_MS = 480_000
-# A stop takes at most this long.
-_STOP_GRACE_MS = 40.0
+# A stop takes at most this long; that of a run that hangs takes all of it.
+_STOP_GRACE_MS = 50.0
 # An unanswered call may be carried out after a time between these.
 _MIN_LATE_S = 2.0
 _MAX_LATE_S = 12.0
@@ -26,10 +29,14 @@
 class ModelEndpoint(EndpointStandIn):
     """Endpoint whose runs end by themselves and are seen by the monitor.
 
-    ``late`` names the kinds of calls ('start', 'stop', 'hold') that get no
-    answer with probability ``late_share``. They are carried out seconds later
-    with probability ``applied_share``, at once if ``applies_at_once``.
-    ``rate`` is the speed of the endpoint's clock.
+    ``late`` names the kinds of calls ('start', 'stop', 'hold', and 'read' for a
+    hold without a fence) that get no answer with probability ``late_share``.
+    They are carried out seconds later with probability ``applied_share``, at
+    once if ``applies_at_once``.
+    ``late_s`` are the bounds of that time. Starts are refused without an effect
+    with probability ``refused_share``, and replies are delayed by up to
+    ``reply_delay_s`` each, so that they overtake each other. ``rate`` is the
+    speed of the endpoint's clock.
     """
 
     def __init__(self, endpoint_id, monitor, rng, rate=1.0):
@@ -41,9 +48,14 @@
         self.late_share: float = 0
         self.applied_share: float = 0
         self.applies_at_once = False
+        self.late_s = (_MIN_LATE_S, _MAX_LATE_S)
+        # Number of calls of each kind that got no answer.
+        self.unanswered = collections.Counter()
+        self.refused_share: float = 0
+        self.reply_delay_s: float = 0
         self.draining = False
         self.rng = rng
-        self.sequence = 0
+        self._sequence = 0
         self._rate = rate
         self._monitor = monitor
         now_ms = self.clock.now_ms()
@@ -53,10 +65,10 @@
 
     def report(self):
         """Return the next status report."""
-        self.sequence += 1
+        self._sequence += 1
         return self.status(
             endpoint_id=self.name,
-            sequence=self.sequence,
+            sequence=self._sequence,
             draining=self.draining,
         )
 
@@ -77,7 +89,7 @@
         """Begin another incarnation under the same id."""
         super().start_again()
         self._born_ms = int(_EPOCH_MS + self._clock_origin_ms)
-        self.sequence = 0
+        self._sequence = 0
         self.draining = False
         self.down = False
 
@@ -87,15 +99,20 @@
 
     def next_due_s(self):
         """Return the time when the next run ends, in seconds."""
-        ends = [active.ends_ms for active in self.running.values()]
-        if not ends:
-            return float('inf')
+        if not self.running:
+            return math.inf
+        ends = [
+            math.inf if active.hangs else active.ends_ms
+            for active in self.running.values()
+        ]
         lease_ms = self._clock_origin_ms + (self._lease_ms + 1) / self._rate
         return min(lease_ms, *ends) / _MS_PER_SECOND
 
     def carry_out_start(self, request):
         """Carry out a start and return the reply."""
         self._end_due_runs()
+        if self.refused_share and self.rng.random() < self.refused_share:
+            return StartReply.REFUSED
         known = len(self.starts)
         self.work_ms = float(request.spec)
         reply = self._start(request)
@@ -137,6 +154,10 @@
         active = self.running.get(ref.task)
         if active is not None and active.ref.run <= ref.run:
             grace_ms = self.rng.uniform(0, _STOP_GRACE_MS)
+            if active.hangs:
+                grace_ms = _STOP_GRACE_MS
+                active.ends_ms = math.inf
+            active.hangs = False
             active.fails = True
             active.ends_ms = min(
                 active.ends_ms,
@@ -196,7 +217,7 @@
     async def hold(self, request, timeout_ms):
         """Extend the lease and return the lists after the wait."""
         lists = await self._call(
-            'hold',
+            'hold' if request.fence else 'read',
             lambda: self._endpoint.carry_out_hold(request),
             timeout_ms,
             request.wait_ms,
@@ -223,19 +244,23 @@
             return Failure(FailureReason.RUNNER_UNREACHABLE, 'refused')
         is_late = kind in endpoint.late
         if is_late and endpoint.rng.random() < endpoint.late_share:
+            endpoint.unanswered[kind] += 1
             if endpoint.rng.random() < endpoint.applied_share:
                 self._nursery.start_soon(self._carry_out_late, act)
             await trio.sleep_forever()
         reply = act()
         if wait_ms and not reply.ended and not reply.fenced:
             reply = await self._wait_for_end(act, wait_ms)
-        await trio.sleep(_LATENCY_S)
+        delay_s = _LATENCY_S
+        if endpoint.reply_delay_s:
+            delay_s += endpoint.rng.uniform(0, endpoint.reply_delay_s)
+        await trio.sleep(delay_s)
         return reply
 
     async def _carry_out_late(self, act):
         endpoint = self._endpoint
         if not endpoint.applies_at_once:
-            await trio.sleep(endpoint.rng.uniform(_MIN_LATE_S, _MAX_LATE_S))
+            await trio.sleep(endpoint.rng.uniform(*endpoint.late_s))
         if not endpoint.down:
             act()
 
--- a/tests/model/entries.py
+++ b/tests/model/entries.py
@@ -96,6 +96,8 @@
         self._restart = trio.Event()
         self._service = None
         self._nursery = None
+        # Until when no caller can connect.
+        self.cut_off_until: float = 0
 
     async def run(self):
         """Run one entry after the other."""
@@ -104,12 +106,14 @@
             self._restart = trio.Event()
             await self._restart.wait()
 
-    def start_entry(self):
+    def start_again(self):
         """Start an entry after the former one has ended."""
         self._restart.set()
 
     def is_open(self):
         """Return whether callers can connect."""
+        if trio.current_time() < self.cut_off_until:
+            return False
         return self.process is not None and self.process.alive
 
     def submit(self, request):
--- a/tests/model/faults.py
+++ b/tests/model/faults.py
@@ -4,7 +4,10 @@
 
 import trio
 
-_CALL_KINDS = ('start', 'stop', 'hold')
+from tests.model.endpointfaults import EndpointFaults
+from tests.model.powerfaults import PowerFaults
+
+_CALL_KINDS = ('start', 'stop', 'hold', 'read')
 
 
 class Faults:
@@ -19,12 +22,14 @@
         rng,
         *,
         late_notices=True,
+        extra=False,
     ):
         """Draw the hosts, kinds, times and durations from ``rng``.
 
         Without ``late_notices`` an entry that was cut off from its callers
         notices their broken connections at the end of the cut, and otherwise
-        up to 250 ms later.
+        up to 250 ms later. With ``extra`` the faults of endpoints and of the
+        power of hosts are drawn too.
         """
         self._late_notices = late_notices
         self._entries = entries
@@ -58,6 +63,13 @@
             self._late_calls,
         )
 
+        if extra:
+            endpoint_faults = EndpointFaults(guards, monitor, rng)
+            power_faults = PowerFaults(entries, guards, network, monitor, rng)
+            self._entry_kinds += power_faults.entry_kinds
+            self._guard_kinds += power_faults.guard_kinds
+            self._guard_kinds += endpoint_faults.kinds
+
     async def run(self, end_s):
         """Apply episodes of overlapping faults until ``end_s``."""
         async with trio.open_nursery() as nursery:
@@ -104,7 +116,7 @@
         self._note('kill', entry=entry.name)
         entry.kill()
         await trio.sleep(self._rng.uniform(0.2, 2))
-        entry.start_entry()
+        entry.start_again()
 
     async def _darken_entry(self):
         entry = self._pick(self._entries)
@@ -118,7 +130,7 @@
         entry.break_exchanges()
         for guard in self._guards:
             self._network.reset(entry.name, guard.name)
-        entry.start_entry()
+        entry.start_again()
 
     async def _freeze_entry(self):
         await self._freeze(self._pick(self._entries))
@@ -154,12 +166,7 @@
             return
         guards = self._some_guards()
         ways = self._rng.choice(('both', 'both', 'to', 'from'))
-        paths = []
-        for guard in guards:
-            if ways != 'from':
-                paths.append((entry.name, guard.name))
-            if ways != 'to':
-                paths.append((guard.name, entry.name))
+        paths = _find_paths(entry, guards, ways)
         names = ','.join(guard.name for guard in guards)
         self._note('cut', entry=entry.name, guards=names, ways=ways)
         for path in paths:
@@ -171,7 +178,8 @@
             pause_s = self._rng.choice((0, self._rng.uniform(0, 0.2)))
             await trio.sleep(pause_s)
             duration_s -= pause_s
-            self._break_callers(entry, guards, duration_s)
+            is_cut_off = ways != 'to' and len(guards) == len(self._guards)
+            self._break_callers(entry, duration_s, is_cut_off=is_cut_off)
         await trio.sleep(duration_s)
         self._note('heal', entry=entry.name)
         if self._chance(0.3):
@@ -180,19 +188,19 @@
         for healed in paths:
             self._network.heal(healed)
 
-    def _break_callers(self, entry, guards, cut_s):
+    def _break_callers(self, entry, cut_s, *, is_cut_off):
         """Break the connections of the callers of an entry in a cut.
 
-        An entry that is cut off from all guards may be cut off from its callers
-        too, and notices then only after the cut. One that reaches a guard
-        notices at once: it works on for its callers, so nothing else could end
-        their jobs.
+        An entry that hears no guard may be cut off from its callers too. It is
+        not called then, and notices the ends of connections only after the cut.
+        One that hears a guard notices at once: what a cut in the direction of
+        the guards holds back is only what the entry sends.
         """
         delay_s = 0.001
-        is_cut_off = len(guards) == len(self._guards)
         if is_cut_off and self._chance(0.5):
             resend_s = self._rng.uniform(0, 0.25)
             delay_s = cut_s
+            entry.cut_off_until = trio.current_time() + cut_s
             if self._late_notices:
                 delay_s += resend_s
         self._note(
@@ -225,7 +233,7 @@
         await trio.sleep(self._rng.uniform(0.05, 0.5))
         entry.kill()
         await trio.sleep(self._rng.uniform(0.2, 1))
-        entry.start_entry()
+        entry.start_again()
 
     async def _delay_paths(self):
         """Delay what entries and guards send to each other."""
@@ -248,7 +256,7 @@
         self._note('kill', guard=guard.name)
         guard.process.end()
         await trio.sleep(self._rng.uniform(0.1, 1.5))
-        guard.start_guard()
+        guard.start_again()
 
     async def _restart_endpoint(self):
         """Crash an endpoint, which comes back under its id or another one."""
@@ -333,3 +341,14 @@
         for ended in endpoints:
             ended.late = frozenset()
         self._note('late_calls_end', guards=names)
+
+
+def _find_paths(entry, guards, ways):
+    """Return the paths between an entry and guards in the ways of a cut."""
+    paths = []
+    for guard in guards:
+        if ways != 'from':
+            paths.append((entry.name, guard.name))
+        if ways != 'to':
+            paths.append((guard.name, entry.name))
+    return paths
--- a/tests/model/network.py
+++ b/tests/model/network.py
@@ -9,8 +9,8 @@
 # One-way delay of a message on an undisturbed path.
 _MIN_DELAY_S = 0.0005
 _MAX_DELAY_S = 0.003
-# TCP sends again what a cut has held back within this time after its end.
-_RETRANSMIT_S = 0.25
+# TCP sends again what a cut has held back within these times after its end.
+_RETRANSMIT_S = (0, 0.25)
 
 
 class Pipe:
@@ -42,7 +42,7 @@
     def resume(self):
         """Deliver what a cut has held back after a retransmission."""
         self._last_at = trio.current_time()
-        self._last_at += self._rng.uniform(0, _RETRANSMIT_S)
+        self._last_at += self._rng.uniform(*self._network.retransmit_s)
         self._chunks = collections.deque(
             (max(at, self._last_at), chunk) for at, chunk in self._chunks
         )
@@ -136,6 +136,7 @@
         self._pipes = []
         self._connections = 0
         self._changed = trio.Event()
+        self.retransmit_s = _RETRANSMIT_S
         # Hosts by name; a host has ``process`` and ``accept``.
         self.hosts = {}
 
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -34,8 +34,12 @@
     starts: int
 
 
-def run_seed(seed, *, late_notices=True):
-    """Play the scenario of a seed in virtual time."""
+def run_seed(seed, *, late_notices=True, extra=False):
+    """Play the scenario of a seed in virtual time.
+
+    With ``extra`` the faults of endpoints and of the power of hosts are drawn
+    too.
+    """
     seed_task_order(seed)
     monitor = Monitor()
     world = World(seed, monitor)
@@ -44,7 +48,7 @@
         world.run,
         rng.randint(2, 4),
         rng.randint(3, 6),
-        functools.partial(_play_faults, late_notices=late_notices),
+        functools.partial(_play_faults, late_notices=late_notices, extra=extra),
         clock=MockClock(autojump_threshold=0),
     )
     return Result(seed, tuple(monitor.breaches), monitor.starts)
@@ -104,7 +108,7 @@
             nursery.start_soon(host.run)
 
 
-async def _play_faults(world, *, late_notices):
+async def _play_faults(world, *, late_notices, extra):
     callers = Callers(
         world.entries, world.monitor, world.make_rng('callers'), _END_S
     )
@@ -115,6 +119,7 @@
         world.monitor,
         world.make_rng('faults'),
         late_notices=late_notices,
+        extra=extra,
     )
     async with trio.open_nursery() as nursery:
         for _ in range(_CALLERS):
