Grant no lease beyond its limit after a standstill of the guard

In virtual time a run goes on up to 930 ms longer than its entry waits, so that the task runs twice.

Cause: the guard limited the duration of a lease with one reading of the clock and added it to a later one. A process that stands still in between, frozen or out of its allowance of processor time, grants the duration anew. The check that a run may take the lease in force had the same order. Class of fault: a time is checked with one reading of the clock and acted upon with another.

Change: the endpoint's clock is read before the limit is computed, and the time is read last where a lease is compared with it, so a standstill only shortens.

--- a/src/borageward/runs/admission.py
+++ b/src/borageward/runs/admission.py
@@ -87,16 +87,17 @@
         for run in self._table.waiting():
             if not run.demand.fits(room):
                 break
-            if self._may_take_lease(run, now_ms):
+            if self._may_take_lease(run):
                 room = room.minus(run.demand)
                 startable.append(run)
         return startable
 
-    def _may_take_lease(self, run: Run, now_ms: Milliseconds) -> bool:
+    def _may_take_lease(self, run: Run) -> bool:
         """Return whether a run need not end before the lease in force does.
 
         The endpoint never shortens its lease, which may have been granted for
-        runs of other entries.
+        runs of other entries. The time is read last: the process may stand
+        still after the lease was looked at.
         """
         lease_ms = max(self._endpoint.lease_left_ms(), MIN_START_LEASE_MS)
-        return run.authority.run_limit_ms >= now_ms + lease_ms
+        return run.authority.run_limit_ms >= self._clock.now_ms() + lease_ms
--- a/src/borageward/runs/endpoint.py
+++ b/src/borageward/runs/endpoint.py
@@ -220,14 +220,16 @@
         elapsed_ms = self._clock.now_ms() - self._clock_read_ms
         return self._endpoint_clock_ms + elapsed_ms * _CLOCK_MARGIN
 
-    def grant_lease(self, duration_ms: Milliseconds) -> int:
+    def grant_lease(
+        self, duration_ms: Milliseconds, from_ms: Milliseconds
+    ) -> int:
         """Return the end of a new lease in ms on the endpoint's clock.
 
-        The endpoint rejects a request that arrives after its lease has ended.
+        ``from_ms`` is an estimate of that clock that was made before the
+        duration was limited: the process may stand still in between. The
+        endpoint rejects a request that arrives after its lease has ended.
         """
-        lease_end_ms = int(
-            self.estimated_clock_ms() + duration_ms * _CLOCK_MARGIN
-        )
+        lease_end_ms = int(from_ms + duration_ms * _CLOCK_MARGIN)
         if self.leases_expired():
             self.lapses += 1
             self._lapsed_lease_end_ms = self._last_lease_end_ms
--- a/src/borageward/runs/lease.py
+++ b/src/borageward/runs/lease.py
@@ -166,12 +166,13 @@
 
     def _grant_lease(self) -> int | None:
         """Return the end of a new lease, or None if none may be granted."""
+        endpoint_ms = self._endpoint.estimated_clock_ms()
         lease_ms = lease_limit_ms(self._table, self._clock.now_ms())
         if lease_ms <= 0 or not self._endpoint.answered_recently:
             return None
         if not self._table.is_busy():
             return None
-        return self._endpoint.grant_lease(lease_ms)
+        return self._endpoint.grant_lease(lease_ms, endpoint_ms)
 
     async def _call_hold(
         self,
--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -263,6 +263,7 @@
 
     async def _start(self, run: Run) -> None:
         endpoint = self._endpoint
+        endpoint_ms = endpoint.estimated_clock_ms()
         now_ms = self._clock.now_ms()
         if self._table.find(run.ref) is not run:
             return
@@ -273,7 +274,7 @@
         request = StartRequest(
             run.ref,
             run.spec,
-            endpoint.grant_lease(min(_START_LEASE_MS, limit_ms)),
+            endpoint.grant_lease(min(_START_LEASE_MS, limit_ms), endpoint_ms),
             endpoint.fence,
         )
         run.lapses = endpoint.lapses
--- a/tests/runs/test_time_lines.py
+++ b/tests/runs/test_time_lines.py
@@ -66,14 +66,16 @@
     await trio.sleep(30)
     real_ms = 30_000
     clock_ms = 1 + real_ms * SLOWEST_RATE
-    remaining_ms = endpoint.grant_lease(LEASE_MS) - clock_ms
+    remaining_ms = (
+        endpoint.grant_lease(LEASE_MS, endpoint.estimated_clock_ms()) - clock_ms
+    )
     assert remaining_ms / SLOWEST_RATE <= LEASE_MS
 
 
 async def test_leases_do_not_expire_early_on_a_slow_clock(autojump_clock):
     """Guards against a run that is called ended while its lease lasts."""
     endpoint = ready_endpoint()
-    lease_end_ms = endpoint.grant_lease(LEASE_MS)
+    lease_end_ms = endpoint.grant_lease(LEASE_MS, endpoint.estimated_clock_ms())
     real_ms = 0
     with trio.fail_after(10):
         while not endpoint.leases_expired():
