Stop the runs of callers in doubt after a silence of all guards

A task could have two runs at the same time after a cut of 0.61 to 0.8 s between an entry and its guards and callers. The entry resumed its sessions, which last 900 ms, and went on with the runs of callers that had left in the cut; TCP repeats the end of a connection 0.2, 0.6 and 1.4 s after it was sent, so the entry learned of it 100 ms after the callers had repeated their jobs. Change: when a silence of all guards ends in which the entry did not stand still itself, it stops the runs of the jobs in doubt before it echoes a stamp. An entry that only stood still keeps its runs, because its host has received the news meanwhile. This departs from the design that let resumed sessions go on; the cost are runs after a silence of 600 to 900 ms, as longer ones lose their sessions anyway. Keep-alive probes on callers' connections are weighed in design.md and not used.

--- a/src/borageward/dispatch/dispatcher.py
+++ b/src/borageward/dispatch/dispatcher.py
@@ -99,20 +99,16 @@
     def handle_state(self) -> None:
         """Start another placement round if tasks wait for an endpoint.
 
+        Has to be called at intervals too, as tasks may wait for the end of a
+        silence.
+
         Most states arrive while nothing waits; a round for each of them would
         use more of the processor than the placement itself.
         """
+        self._record_contact()
         if self._has_unplaced:
             self.wake()
 
-    def check(self) -> None:
-        """Handle a silence of the guards, and tasks that wait for its end.
-
-        Has to be called at intervals.
-        """
-        self._contact.record(self._fleet.heard_ms())
-        self.handle_state()
-
     def handle_end(
         self,
         guard: str,
@@ -154,6 +150,20 @@
             await trio.lowlevel.checkpoint()
             self._dispatch()
 
+    def _record_contact(self) -> None:
+        """Record the contact to guards; stop runs without sure callers.
+
+        The callers may repeat their jobs before the entry learns that they have
+        left, so the runs must not be extended by the guards that are heard.
+        """
+        if self._contact.record(self._fleet.heard_ms()):
+            self._fleet.stop(
+                (task.guard, task.ref)
+                for job in self._jobs.values()
+                if not self._contact.may_order(job.submitted_ms)
+                for task in job.placed()
+            )
+
     def _handle_crash(self, job: Job, task: JobTask) -> None:
         now_ms = self._clock.now_ms()
         suspects = sum(
@@ -219,7 +229,7 @@
 
     def _waiting_by_slack(self) -> list[_WaitingTask]:
         now_ms = self._clock.now_ms()
-        self._contact.record(self._fleet.heard_ms())
+        self._record_contact()
         waiting: list[_WaitingTask] = []
         for job in self._jobs.values():
             for task in self._placeable(job):
--- a/src/borageward/dispatch/service.py
+++ b/src/borageward/dispatch/service.py
@@ -286,7 +286,7 @@
             await self._clock.sleep_ms(_LINK_UPDATE_INTERVAL_MS)
             self._fleet.update_links(nursery)
             # Tasks that wait while no guard sends states are refused in time.
-            self._dispatcher.check()
+            self._dispatcher.handle_state()
 
     def _handle_end(
         self,
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -279,7 +279,7 @@
         'callers_in_doubt': _warning(
             'silent_ms',
             'No guard was heard for a while, so callers may have left '
-            'unnoticed; older jobs get no new runs for as long.',
+            'unnoticed; older jobs get no new runs for a little longer.',
         ),
         'guard_link_closed': _info(
             'guard, links',
--- a/tests/model/test_scripts.py
+++ b/tests/model/test_scripts.py
@@ -145,6 +145,37 @@
     assert not result.breaches, str(result.breaches[0])
 
 
+@pytest.mark.parametrize('phase_s', [0.04, 0.12, 0.2])
+@pytest.mark.parametrize('cut_s', [0.3, 0.55, 0.61, 0.65, 0.7, 0.75, 0.8])
+def test_callers_leave_in_a_cut_that_sessions_outlast(cut_s, phase_s):
+    """Guards against runs that go on for lost callers after a short cut.
+
+    The ends of the callers' connections are repeated 0.2, 0.6 and 1.4 s after
+    they were sent, as TCP does; the first one after the cut arrives.
+    """
+
+    async def play(world):
+        first, second = world.entries
+        first.submit(_request())
+        await trio.sleep(1 + phase_s)
+        paths = _paths(world, first)
+        paths += [(target, source) for source, target in paths]
+        for path in paths:
+            world.network.cut(path)
+        first.break_exchanges(
+            delay_s=min(time_s for time_s in (0.2, 0.6, 1.4) if time_s > cut_s),
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_repeat_at, second)
+            await trio.sleep(cut_s)
+            for healed in paths:
+                world.network.heal(healed)
+
+    result = run_script(play, guards=6)
+    assert result.starts
+    assert not result.breaches, str(result.breaches[0])
+
+
 @pytest.mark.parametrize(
     ('delay_s', 'cut_s'), [(0.15, 0.8), (0.2, 0.75), (0.2, 0.8)]
 )
