Keep a repeated report of a cancellation once

Beside failing calls an entry reports the same cancellations again, and each repetition displaced another one. A job whose cancellation is dropped works on at the entry that owns it.

--- a/tests/control/test_recent_cancellations.py
+++ b/tests/control/test_recent_cancellations.py
@@ -89,3 +89,37 @@
     kept = store()
     kept.add((odd, Cancellation('yy', 0)))
     assert ids(kept.since(0)) == ['yy']
+
+
+async def test_repeated_report_is_kept_once(autojump_clock):
+    """Guards against repetitions that displace other cancellations.
+
+    An entry reports again what a replica may have missed, as after a call
+    without an answer.
+    """
+    kept = store()
+    kept.add((Cancellation('first', 0),))
+    for number in range(10):
+        await trio.sleep(0.1)
+        kept.add(
+            tuple(
+                Cancellation(str(index), 5 + 100 * number)
+                for index in range(1300)
+            )
+        )
+    known = kept.since(0)
+    assert len(known) == 1301
+    assert known[0].job_id == 'first'
+
+
+async def test_later_cancellation_of_the_same_job_is_kept(autojump_clock):
+    """Guards against a job that goes on after it was cancelled again.
+
+    It was submitted again after the first cancellation.
+    """
+    kept = store()
+    kept.add((Cancellation('x', 0),))
+    known = kept.version
+    await trio.sleep(1)
+    kept.add((Cancellation('x', 0),))
+    assert ids(kept.since(known)) == ['x']
