Settle held echoes although the link of the entry breaks

Cause: since the limit on the runs of an entry that stood still is extended 100 ms after its first echo, by a task of the link. If the link broke within this time, the task was cancelled, and the limit stayed where it was until the second echo of the resumed session. Healthy runs lapsed meanwhile.

Change: the task belongs to the session server, which outlives links.

--- a/src/borageward/runs/echoes.py
+++ b/src/borageward/runs/echoes.py
@@ -30,21 +30,25 @@
         self._table = table
         self._clock = clock
         self._find_supervisor = find_supervisor
+        self._nursery: trio.Nursery | None = None
 
-    def extend(
-        self,
-        nursery: trio.Nursery,
-        session: Session,
-        echoed_ms: Milliseconds,
-    ) -> None:
-        """Extend a session; the nursery serves the link of its entry."""
+    def start(self, nursery: trio.Nursery) -> None:
+        """Settle echoes in a nursery that outlives the links of entries.
+
+        A link that breaks before its echo is settled must not cost the time
+        until the next echo: the lease may end meanwhile.
+        """
+        self._nursery = nursery
+
+    def extend(self, session: Session, echoed_ms: Milliseconds) -> None:
+        """Extend a session."""
         begins_hold = session.extend(
             echoed_ms,
             self._clock.now_ms(),
             has_runs=bool(self._table.of_session(session.entry)),
         )
-        if begins_hold:
-            nursery.start_soon(self._settle_later, session)
+        if begins_hold and self._nursery is not None:
+            self._nursery.start_soon(self._settle_later, session)
 
     async def _settle_later(self, session: Session) -> None:
         """Settle echoes that were held back, and renew the lease by them."""
--- a/src/borageward/runs/sessionserver.py
+++ b/src/borageward/runs/sessionserver.py
@@ -138,6 +138,7 @@
     async def run(self) -> None:
         """Send states and expire sessions until cancelled."""
         async with trio.open_nursery() as nursery:
+            self._echoes.start(nursery)
             nursery.start_soon(self._send_states)
             nursery.start_soon(self._expire_sessions)
 
@@ -152,7 +153,7 @@
             return
         session = self._by_link.get(link)
         if session is not None and session.link is link:
-            self._handle_session_message(nursery, session, message)
+            self._handle_session_message(session, message)
         elif isinstance(message, StartRuns):
             self._log.warning(
                 'order_ignored',
@@ -221,7 +222,6 @@
 
     def _handle_session_message(
         self,
-        nursery: trio.Nursery,
         session: Session,
         message: EntryMessage,
     ) -> None:
@@ -230,7 +230,7 @@
             return
         if isinstance(message, OpenSession):
             return
-        self._echoes.extend(nursery, session, message.echoed_ms)
+        self._echoes.extend(session, message.echoed_ms)
         if isinstance(message, StartRuns):
             self._handle_starts(session, message)
             return
--- a/tests/runs/test_repeated_jobs.py
+++ b/tests/runs/test_repeated_jobs.py
@@ -169,3 +169,33 @@
         entry.silent = False
         await trio.sleep(3)
         assert entry.outcomes() == {(0, 1): 'done'}
+
+
+@pytest.mark.parametrize('still_ms', range(600, 900, 50))
+@pytest.mark.parametrize('broken_ms', [0, 5, 50])
+async def test_link_that_breaks_after_a_standstill_costs_no_run(
+    broken_ms, still_ms, autojump_clock
+):
+    """Guards against healthy runs that lapse because an echo is held back.
+
+    The link breaks soon after the first echo of an entry that stood still. The
+    entry resumes its session at once and echoes all further states.
+    """
+    async with running_guard(work_ms=3000) as (guard, _, entry, nursery):
+        await entry.start(0)
+        await trio.sleep(0.5)
+        await echo_next_state(entry)
+        entry.silent = True
+        await trio.sleep(still_ms / 1000)
+        await entry.connection.send(SessionHeartbeat(entry.state.stamp_ms, 0))
+        await trio.sleep(broken_ms / 1000)
+        await entry.connection.close()
+        await trio.sleep(0.06)
+        again = await guard.connect()
+        nursery.start_soon(again.run)
+        session = entry.opened[0].session
+        await again.open(session=session, attempt=1)
+        assert again.opened[0].resumed
+        await again.connection.send(SessionHeartbeat(again.state.stamp_ms, 0))
+        await trio.sleep(4)
+        assert again.outcomes() == {(0, 1): 'done'}
