Tell the standstill of an entry by the age of its echoes

Cause: the guard held an echo back if more than 450 ms had passed since the last heartbeat arrived. A heartbeat that was held up on its way, just before the entry stood still, made this time shorter than the standstill, and a lease could be granted between the echo and the stop of the run.

Change: the time counts from the newest stamp that the entry had echoed. Only entries with runs at work are concerned: a waiting run has no lease to extend, and its order may carry an old stamp.

--- a/src/borageward/runs/echoes.py
+++ b/src/borageward/runs/echoes.py
@@ -45,7 +45,10 @@
         begins_hold = session.extend(
             echoed_ms,
             self._clock.now_ms(),
-            has_runs=bool(self._table.of_session(session.entry)),
+            has_runs=any(
+                run.occupies_endpoint
+                for run in self._table.of_session(session.entry)
+            ),
         )
         if begins_hold and self._nursery is not None:
             self._nursery.start_soon(self._settle_later, session)
--- a/src/borageward/runs/sessions.py
+++ b/src/borageward/runs/sessions.py
@@ -24,9 +24,10 @@
 UNLINKED_TIMEOUT_MS = 250.0
 # A session without runs has no authority to lose, and is kept for longer.
 _IDLE_SESSION_TIMEOUT_MS = 3000.0
-# An entry with runs that is heard of after a longer silence stood still or was
-# cut off. A live one echoes a state within 450 ms: states are sent every 300 ms
-# and echoed if they are 150 ms newer than the last echoed one.
+# An entry with runs at work whose newest echo is older than this stood still or
+# was cut off. A live one echoes a state within 450 ms: states are sent every
+# 300 ms and echoed if they are 150 ms newer than the last echoed one. The time
+# counts from the stamp, because a heartbeat may have been held up on its way.
 _STILL_MS = 450.0
 # An entry that stood still may echo a state this long before it stops the runs
 # of callers that have left meanwhile.
@@ -61,10 +62,10 @@
     ``echoed_ms`` is the newest time stamp of this guard that the entry has
     echoed, from which ``limits`` count. The limit on its runs counts from
     ``settled_ms``, the newest one that no stop may follow any more. Echoes
-    settle at ``held_until_ms`` at the earliest, and the last one came at
-    ``heard_ms``. ``state_sent_ms`` is the time of the
-    last state sent to it, ``sent_version`` the number of changes that this
-    state contained, and ``last_order`` the number of its last start request.
+    settle at ``held_until_ms`` at the earliest. ``state_sent_ms`` is the time
+    of the last state sent to it, ``sent_version`` the number of changes that
+    this state contained, and ``last_order`` the number of its last start
+    request.
     ``unlinked_ms`` is the time when its last link was lost.
     ``unacknowledged`` holds run ends until the entry has acknowledged them;
     ``last_end`` is the number of the last one, ``reported_end`` of the last
@@ -75,7 +76,6 @@
     echoed_ms: Milliseconds
     limits: AuthorityLimits
     settled_ms: Milliseconds = attrs.field(init=False)
-    heard_ms: Milliseconds = attrs.field(init=False)
     held_until_ms: Milliseconds = -math.inf
     session_id: str = attrs.field(factory=_new_session_id)
     attempt: int = 0
@@ -91,7 +91,6 @@
     def __attrs_post_init__(self) -> None:
         """Count from the time when the session was opened."""
         self.settled_ms = self.echoed_ms
-        self.heard_ms = self.echoed_ms
 
     @property
     def authority_end_ms(self) -> Milliseconds:
@@ -118,12 +117,12 @@
         """Extend the session from a time stamp that the entry has echoed.
 
         After a silence the limit on its runs is extended later, by ``settle``.
-        Returns whether such a time begins with this echo.
+        Returns whether such a time begins with this echo. ``has_runs`` says
+        whether any run may be at work.
         """
-        begins_hold = has_runs and now_ms - self.heard_ms > _STILL_MS
+        begins_hold = has_runs and now_ms - self.echoed_ms > _STILL_MS
         if begins_hold:
             self.held_until_ms = now_ms + ECHO_HOLD_MS
-        self.heard_ms = now_ms
         self.echoed_ms = max(self.echoed_ms, echoed_ms)
         self.settle(now_ms)
         return begins_hold
--- a/tests/runs/test_repeated_jobs.py
+++ b/tests/runs/test_repeated_jobs.py
@@ -171,6 +171,33 @@
         assert entry.outcomes() == {(0, 1): 'done'}
 
 
+@pytest.mark.parametrize('held_up_ms', [100, 300, 430])
+@pytest.mark.parametrize('still_ms', range(600, 900, 10))
+async def test_late_heartbeat_hides_no_standstill(
+    still_ms, held_up_ms, autojump_clock
+):
+    """Guards against a lease that a guard grants before it reads the stop.
+
+    The last heartbeat before the standstill of the entry arrives late, so the
+    time between two heartbeats is shorter than the standstill.
+    """
+    async with running_guard(work_ms=9000) as (_, endpoint, entry, _nursery):
+        await entry.start(0)
+        await trio.sleep(0.5)
+        endpoint.unanswered_stops = 1000
+        await echo_next_state(entry)
+        caller_ms = entry.state.stamp_ms
+        entry.silent = True
+        await trio.sleep(held_up_ms / 1000)
+        await entry.connection.send(SessionHeartbeat(caller_ms, 0))
+        await trio.sleep((still_ms - held_up_ms) / 1000)
+        await entry.connection.send(SessionHeartbeat(entry.state.stamp_ms, 0))
+        await trio.sleep(0.02)
+        await entry.connection.send(StopRuns((ref(0),), caller_ms))
+        await trio.sleep(REPEAT_S - (still_ms + 20) / 1000)
+        assert endpoint.lease_expired
+
+
 @pytest.mark.parametrize('still_ms', range(600, 900, 50))
 @pytest.mark.parametrize('broken_ms', [0, 5, 50])
 async def test_link_that_breaks_after_a_standstill_costs_no_run(
