Learn the start time of an endpoint from its replies

Cause: a report without a start time is accepted, as some endpoints have none. If one of another writer, which lacks fields, was the first that a guard received, the next proper report looked like that of a later incarnation. The guard reported all runs as crashed while they were at work, and their entry started the tasks elsewhere (two runs of one task by one entry). The fence lacked the start time too.

Change: the endpoint takes the start time from its first reply that names one.

--- a/src/borageward/runs/endpoint.py
+++ b/src/borageward/runs/endpoint.py
@@ -4,6 +4,8 @@
 
 import math
 
+import attrs
+
 from borageward.clock import Clock, Milliseconds
 from borageward.runs.port import NOT_REPORTED, EndpointPort, EndpointStatus
 
@@ -132,6 +134,14 @@
         own_ms = self._status.born_ms
         return born_ms == own_ms or not (born_ms and own_ms)
 
+    def record_born(self, born_ms: int) -> None:
+        """Take the start time from a reply if the report did not name it.
+
+        The next report that names it is then known to be of this incarnation.
+        """
+        if born_ms and not self._status.born_ms:
+            self._status = attrs.evolve(self._status, born_ms=born_ms)
+
     def update(self, status: EndpointStatus) -> bool:
         """Store a status; return false if it is older than the stored one."""
         if status.sequence < self._status.sequence:
--- a/src/borageward/runs/lease.py
+++ b/src/borageward/runs/lease.py
@@ -185,6 +185,7 @@
         if not self._endpoint.is_incarnation(lists.born_ms):
             self._on_restart(self._endpoint, lists.born_ms)
             return None
+        self._endpoint.record_born(lists.born_ms)
         if self._endpoint.record_answer():
             self._log.event('endpoint_regained')
         self._endpoint.record_clock(lists.clock_ms)
