Hold the entry's wait for a silent guard where the other limits are

The limit on runs stood in policy/run_authority.py and the entry's margin on top of it in the link, so no test added both up.

--- a/src/borageward/dispatch/guardlink.py
+++ b/src/borageward/dispatch/guardlink.py
@@ -25,6 +25,7 @@
     StartRuns,
     StopRuns,
 )
+from borageward.policy.run_authority import entry_wait_ms
 from borageward.telemetry import EventLog
 from borageward.transport import Address, FrameConnection, LinkClosed
 
@@ -41,8 +42,6 @@
 _ORDER_ANSWER_MS = 250.0
 _CONNECT_TIMEOUT_MS = 500.0
 _RECONNECT_DELAY_MS = 60.0
-# Added to the time after which the guard has ended the runs of a silent entry.
-_RUN_LIMIT_MARGIN_MS = 100.0
 _MS_PER_SECOND = 1000.0
 
 
@@ -281,7 +280,7 @@
             self._guard = message.guard
             self._state = None
             self._stamps = CheckedStamps()
-        self._run_limit_ms = message.run_limit_ms + _RUN_LIMIT_MARGIN_MS
+        self._run_limit_ms = entry_wait_ms(message.run_limit_ms)
         self.stop(self._runs.reconcile(message))
         self._log.event(
             'guard_found',
--- a/src/borageward/policy/run_authority.py
+++ b/src/borageward/policy/run_authority.py
@@ -18,12 +18,26 @@
 # lease of all its runs ends.
 _STOP_MS = 300.0
 _MAX_SESSION_TIMEOUT_MS = 900.0
+# Time for the runs at a silent guard to end once their limit is reached. The
+# end of a lease takes effect within 60 ms, and the guard's estimate of the
+# endpoint's clock is 3% slow at most, 24 ms for the longest lease.
+_END_MARGIN_MS = 100.0
 # Age of an echo up to which the lease in force may be given to a new run. The
 # guard sends a state every 300 ms, which the entry echoes.
 _ECHO_AGE_MS = 400.0
 _MAX_LEASE_MS = 800.0
 
 
+def entry_wait_ms(run_limit_ms: Milliseconds) -> Milliseconds:
+    """Return how long an entry takes the runs at a silent guard for active.
+
+    It counts from its last heartbeat or order to that guard, which is later
+    than the time stamp in it. ``run_limit_ms`` is the limit that the guard has
+    named. The entry starts the tasks elsewhere after this time.
+    """
+    return run_limit_ms + _END_MARGIN_MS
+
+
 @attrs.frozen(slots=True)
 class AuthorityLimits:
     """Limits that end a run before its caller has the job started again.
