Send states to idle entries more often than they notice silence

With a single guard in reach it logged 34 warnings in 30 s, and its doubts joined: a job that waited for room was not ordered for all of the 26 s that were watched. With 2 to 8 guards there was at most one warning in 30 s, after the links were opened, and no doubt.

Change: guards check every 150 ms and send idle states after 450 ms (460 in fact).

--- a/src/borageward/dispatch/guardlink.py
+++ b/src/borageward/dispatch/guardlink.py
@@ -33,7 +33,7 @@
 _HEARTBEAT_INTERVAL_MS = 150.0
 # A connection without a message for this time is closed and opened again. The
 # guard sends a state at least every 300 ms to an entry that has runs there, and
-# every 600 ms to others.
+# every 460 ms to others.
 _SILENCE_TIMEOUT_MS = 700.0
 _IDLE_SILENCE_TIMEOUT_MS = 1500.0
 # A guard answers each order with a state. One that has not done so for this
--- a/src/borageward/runs/sessionserver.py
+++ b/src/borageward/runs/sessionserver.py
@@ -37,9 +37,12 @@
 
 _NONCE_BYTES = 6
 # The state serves as a heartbeat: it is sent at least this often to entries
-# with runs, and at least at the second interval to the others.
+# with runs, and at least at the second interval to the others. Both are
+# multiples of the check interval. An entry that hears no guard for 600 ms takes
+# itself for cut off, so the second one must be well below this.
 _STATE_INTERVAL_MS = 300.0
-_IDLE_STATE_INTERVAL_MS = 600.0
+_IDLE_STATE_INTERVAL_MS = 450.0
+_STATE_CHECK_INTERVAL_MS = 150.0
 # Delay before a state is sent, so that one state covers several changes.
 _STATE_DELAY_MS = 3.0
 _SETTLE_INTERVAL_MS = 10.0
@@ -361,7 +364,7 @@
         """Return the seconds until a state is due if nothing changes."""
         if self._has_unsent_state:
             return self._states.interval_ms(self._supervisor()) / _MS_PER_SECOND
-        return _STATE_INTERVAL_MS / _MS_PER_SECOND
+        return _STATE_CHECK_INTERVAL_MS / _MS_PER_SECOND
 
     def _post_states(self) -> None:
         """Send the states that are due; at once with new run ends."""
--- a/tests/dispatch/test_contact.py
+++ b/tests/dispatch/test_contact.py
@@ -106,7 +106,7 @@
 def test_usual_pause_is_no_silence(entry, pause_ms):
     """Guards against jobs that wait without a cause.
 
-    Guards send states to an idle entry every 600 ms.
+    Guards send states to an idle entry every 460 ms.
     """
     entry.clock.at_ms += pause_ms
     assert entry.contact.may_order(4900)
