--- a/src/borageward/runs/incarnations.py
+++ b/src/borageward/runs/incarnations.py
@@ -63,7 +63,8 @@
         self._steady_clock = steady_clock
         self._log = log
         self._run_log = RunLog(clock, log)
-        self._started_ms = clock.now_ms()
+        # The endpoint's clock may stop while the host is suspended.
+        self._started_ms = steady_clock.now_ms()
         self._only_own_runs_listed = False
         self._draining = False
         self._supervisor: RunSupervisor | None = None
@@ -85,7 +86,8 @@
         """Return whether no run of an earlier guard can still be running."""
         if self._only_own_runs_listed:
             return True
-        return self._clock.now_ms() - self._started_ms > _FORMER_RUNS_EXPIRY_MS
+        elapsed_ms = self._steady_clock.now_ms() - self._started_ms
+        return elapsed_ms > _FORMER_RUNS_EXPIRY_MS
 
     def start(self, nursery: trio.Nursery) -> None:
         """Run the supervision tasks in the nursery."""
