End runs that were stopped before an unanswered start

Cause: a run that lost its authority while its start was under way ended only once its stop was confirmed. If the start was never carried out and the endpoint answered no stop, the run stayed in the table without end. It limited the lease, so nothing else could start at the endpoint, and the entry waited for its end.

Change: once the lease of the start request has ended, which voids the start, lists that lack the run prove its end, as for a start that is settled.

--- a/src/borageward/runs/supervisor.py
+++ b/src/borageward/runs/supervisor.py
@@ -276,13 +276,13 @@
             endpoint.grant_lease(min(_START_LEASE_MS, limit_ms)),
             endpoint.fence,
         )
+        run.void_after_ms = request.lease_end_ms
         run.lapses = endpoint.lapses
         self._run_log.start_stage(run, 'sent')
         reply = await endpoint.port.start(request, _START_TIMEOUT_MS)
         if run.state is not RunState.STARTING:
             return
         if isinstance(reply, Failure):
-            run.void_after_ms = request.lease_end_ms
             self._mark_unsettled(run, reply)
             await self.poll_now()
             return
@@ -360,6 +360,9 @@
                 _STOP_TIMEOUT_MS,
             )
             if failure is not None:
+                if _is_void(run, self._endpoint):
+                    # Lists that lack the run prove its end from now on.
+                    run.confirmed_ms = self._clock.now_ms()
                 await self._clock.sleep_ms(_FAILED_STOP_RETRY_MS)
                 continue
             if not run.stop_confirmed:
@@ -443,6 +446,16 @@
                 self.stop(run)
 
 
+def _is_void(run: Run, endpoint: Endpoint) -> bool:
+    """Return whether a start that was not confirmed can take no effect.
+
+    The endpoint refuses the request once its lease has ended.
+    """
+    if run.confirmed_ms or not run.void_after_ms:
+        return False
+    return endpoint.estimated_clock_ms() > run.void_after_ms
+
+
 def _mark_running(run: Run, now_ms: Milliseconds) -> None:
     run.state = RunState.RUNNING
     run.confirmed_ms = now_ms
