Test that reports of another writer end no run at work

A report that names another start time or id than the endpoint's ends runs at once in two cases, and their entry starts the tasks elsewhere while they are at work.

--- a/tests/runs/test_other_endpoints.py
+++ b/tests/runs/test_other_endpoints.py
@@ -82,3 +82,44 @@
         await trio.sleep(0.3)
         assert entry.state.endpoint_id == 'endpoint-1'
         assert entry.state.accepting
+
+
+async def check_end(entry, endpoint):
+    """Check for a second that the end of the run is not reported too early."""
+    for _ in range(1000):
+        await trio.sleep(0.001)
+        is_at_work = ref(0).task in endpoint.running
+        if is_at_work and not endpoint.lease_expired:
+            assert not entry.ends
+
+
+async def test_wrong_start_time_ends_no_run(autojump_clock):
+    """Guards against a task that starts elsewhere while its run works on.
+
+    A report under the id of the endpoint names a later start time, but the
+    endpoint still answers with its own.
+    """
+    async with running_guard(work_ms=9000) as (guard, endpoint, entry, _):
+        await entry.start(0)
+        await trio.sleep(0.5)
+        guard.monitor.report(endpoint.status(born_ms=99, sequence=2))
+        await check_end(entry, endpoint)
+
+
+async def test_report_of_another_writer_ends_no_run_in_doubt(autojump_clock):
+    """Guards against a task that starts elsewhere while its run works on.
+
+    An endpoint that has started again under its id has carried out a start and
+    answers no call. Another writer reports another endpoint.
+    """
+    async with running_guard(work_ms=9000) as (guard, endpoint, entry, _):
+        other = other_endpoint(guard)
+        other.down = True
+        endpoint.start_again()
+        await entry.start(0)
+        await trio.sleep(0.02)
+        endpoint.silent = True
+        guard.monitor.report(endpoint.status())
+        await trio.sleep(0.1)
+        report(guard, other)
+        await check_end(entry, endpoint)
