Test an entry that hears a guard while its callers have left

contact.py doubts callers after a silence of all guards. It does not notice that only the messages of the entry are lost (a cut of one direction), nor that all guards but one are out of reach, such as one in the cut-off zone of the entry.

--- a/tests/model/test_scripts.py
+++ b/tests/model/test_scripts.py
@@ -145,6 +145,37 @@
     assert not result.breaches, str(result.breaches[0])
 
 
+@pytest.mark.parametrize('ways', ['to', 'all_but_one'])
+@pytest.mark.parametrize('healed_s', [0, 0.2, 0.4])
+def test_entry_that_hears_a_guard_returns_from_a_cut(ways, healed_s):
+    """Guards against an entry that starts a job again for a lost caller.
+
+    Its callers have left and it learns of that late. It hears guards all the
+    time: only its own messages are lost, or one guard is still in reach.
+    """
+
+    async def play(world):
+        first, second = world.entries
+        first.submit(_request())
+        await trio.sleep(1)
+        paths = _paths(world, first)
+        if ways != 'to':
+            paths = [path for path in paths if path[1] != world.guards[0].name]
+            paths += [(target, source) for source, target in paths]
+        for path in paths:
+            world.network.cut(path)
+        first.break_exchanges(delay_s=2.5)
+        await _repeat_at(second)
+        await trio.sleep(healed_s)
+        for healed in paths:
+            world.network.heal(healed)
+        await trio.sleep(1)
+
+    result = run_script(play, guards=6)
+    assert result.starts
+    assert not result.breaches, str(result.breaches[0])
+
+
 @pytest.mark.parametrize(
     ('delay_s', 'cut_s'), [(0.15, 0.8), (0.2, 0.75), (0.2, 0.8)]
 )
