Grant a vote to a candidate whose log names this disk as a voter

What operators saw: control has no leader for good. A leader commits the promotion of a spare that has just frozen, and then loses its disk. The others count four voters and need three votes. The spare is back, but it is a learner by its own log, so it refuses its vote.

Cause: whether a replica may grant its vote was decided by the replica set in its own log (may_vote). That log may be older than the candidate's. In Raft a server grants its vote without regard to its own replica set; only standing for election asks for it.

Change: RequestVote names the storage id that the candidate's log binds the vote to. A replica grants its vote if its own log lists it as a voter, as before, or if the candidate names its disk. A replica whose disk was lost or erased has another storage id, so it cannot vote under a former id. Requests of earlier versions name no disk and are answered as before.

--- a/src/borageward/control/consensus/context.py
+++ b/src/borageward/control/consensus/context.py
@@ -8,6 +8,10 @@
 import trio
 
 from borageward.clock import Milliseconds
+from borageward.control.consensus.eligibility import (
+    may_grant_vote,
+    may_stand,
+)
 from borageward.control.consensus.log import ReplicatedLog
 from borageward.control.consensus.options import NodeOptions
 from borageward.control.consensus.replicas import find_replica, voter_ids
@@ -116,23 +120,25 @@
         """Return whether this replica has ended; requests are rejected."""
         return self._closed
 
-    def may_vote(self) -> bool:
-        """Return whether this replica is a voter that may use its vote.
+    def may_stand(self) -> bool:
+        """Return whether this replica may stand for election."""
+        if self._closed:
+            return False
+        return may_stand(self._log.replicas, self._identity)
 
-        A voter id is tied to one storage id, so that a replica whose disk was
-        replaced cannot vote twice in a term.
+    def may_grant_vote(self, counted_storage_id: bytes) -> bool:
+        """Return whether this replica may vote for a candidate.
+
+        ``counted_storage_id`` is the storage id of this replica in the log of
+        the candidate.
         """
         if self._closed:
             return False
-        own = find_replica(
-            self._log.replicas.replicas,
-            self._options.voter_id,
+        return may_grant_vote(
+            self._log.replicas,
+            self._identity,
+            counted_storage_id,
         )
-        if own is None or not own.voter:
-            return False
-        if own.storage_id:
-            return own.storage_id == self._identity.storage_id
-        return self._identity.admitted
 
     def may_store(self) -> bool:
         """Return whether this replica may store entries of a leader."""
--- a/src/borageward/control/consensus/election.py
+++ b/src/borageward/control/consensus/election.py
@@ -7,12 +7,16 @@
 
 from __future__ import annotations
 
+import msgspec
 import trio
 
 from borageward.clock import Milliseconds
 from borageward.control.consensus.context import ReplicaContext, Role
 from borageward.control.consensus.links import PeerLinks
-from borageward.control.consensus.replicas import has_majority
+from borageward.control.consensus.replicas import (
+    find_replica,
+    has_majority,
+)
 from borageward.control.storage import Vote
 from borageward.messages.consensus import RequestVote, VoteReply
 
@@ -104,7 +108,7 @@
 
     async def _campaign(self) -> bool:
         context = self._context
-        if not context.may_vote() or context.failed:
+        if not context.may_stand() or context.failed:
             return False
         if context.disk_full and not await self._disk_takes_writes():
             return False
@@ -126,7 +130,7 @@
 
     async def _vote_for_itself(self, term: int) -> bool:
         """Store a vote for itself, unless the term has advanced meanwhile."""
-        if self._context.term >= term or not self._context.may_vote():
+        if self._context.term >= term or not self._context.may_stand():
             return False
         vote = Vote(term, self._options.voter_id)
         if await self._context.store_vote(vote) is not None:
@@ -185,9 +189,13 @@
         granted: set[str],
         scope: trio.CancelScope,
     ) -> None:
+        counted = find_replica(self._context.log.replicas.replicas, voter)
         reply = await self._links.call(
             voter,
-            request,
+            msgspec.structs.replace(
+                request,
+                storage_id=b'' if counted is None else counted.storage_id,
+            ),
             self._options.election_timeout_ms,
         )
         if not isinstance(reply, VoteReply):
--- a/src/borageward/control/consensus/handlers.py
+++ b/src/borageward/control/consensus/handlers.py
@@ -74,7 +74,9 @@
         return await self._serve_leader(request)
 
     def _would_grant(self, request: RequestVote) -> bool:
-        if not self._context.may_vote() or self._has_live_leader():
+        if not self._context.may_grant_vote(request.storage_id):
+            return False
+        if self._has_live_leader():
             return False
         if request.term < self._context.term:
             return False
--- a/src/borageward/messages/consensus.py
+++ b/src/borageward/messages/consensus.py
@@ -101,8 +101,9 @@
     With ``pre_vote`` it only asks whether a vote would be granted, and no vote
     is stored. ``last_index`` and ``last_term`` are those of the candidate's
     last log entry. ``recipient`` is the voter id that is asked; a replica under
-    another id, which may have taken over the address, rejects the request. It
-    is empty in requests of earlier versions.
+    another id, which may have taken over the address, rejects the request.
+    ``storage_id`` is the disk that the candidate's log binds the vote to. Both
+    are empty in requests of earlier versions.
     """
 
     term: int
@@ -111,6 +112,7 @@
     last_term: int
     pre_vote: bool
     recipient: str = ''
+    storage_id: bytes = b''
 
 
 class VoteReply(Message, frozen=True):
