Exchange a voter for its successor in one change

When all are back, every node answers each read of the manifest with 503, for good.

Cause: VoterRepair removed a voter that was silent for 2.5 s before it promoted its successor. Of three voters two remained, both of which were needed, and the removed one still had its disk. If the successor could not be promoted, this lasted as long as it was silent. One more lost disk, which the settings tolerate, ended control. Promoting first was ruled out: it needs the successor for every commit, and a successor that loses its disk as well ends control (docs/decisions/voter-exchange.md).

Change: VoterExchange, by joint consensus (SetJointReplicas, then SetReplicas). Elections and commits need a majority of the former and of the new voters until the second entry, which any leader appends once the first is committed. No smaller set decides at any time. The decision moves to cluster/repairplan.py, which has no input or output. Related paths: voters are added up to odd numbers only, since an even number survives no more lost disks; a lost disk is replaced by any learner that is ready, as soon as the newer replica at its address has answered, and the newest replica at an address is the one that joined last; a replica whose removal is committed during its request to join is told so at once. Each decision is logged with the silence of both replicas, the voters and the number of lost disks that they survive.

test_manifests.py waits for committed voters: the new voters are in use before the exchange is committed, and a replica is not told that it is retired before.

--- a/src/borageward/control/cluster/repair.py
+++ b/src/borageward/control/cluster/repair.py
@@ -2,34 +2,27 @@
 
 from __future__ import annotations
 
-from borageward.clock import Clock, Milliseconds
+from collections.abc import Iterable
+
+from borageward.clock import Clock
 from borageward.control.cluster.options import ClusterOptions
-from borageward.control.consensus import Node
+from borageward.control.cluster.repairplan import (
+    RepairCause,
+    RepairPlan,
+    ReplicaHealth,
+)
+from borageward.control.consensus import Node, VoterExchange, voter_ids
 from borageward.failures import Failure
 from borageward.messages.consensus import Replica
-from borageward.messages.control import (
-    AddLearner,
-    PromoteVoter,
-    RemoveVoter,
-)
+from borageward.messages.control import AddLearner, Done
 from borageward.messages.discovery import Joined, JoinCluster
 from borageward.telemetry import EventLog
 
 _REPAIR_INTERVAL_MS = 200.0
-# A voter that has not answered for this time may be replaced by a learner. A
-# suspended or partitioned voter that returns later joins again as a learner.
-_REPLACE_AFTER_MS = 2500.0
-# A learner that has not answered for this time takes no voter's place. Requests
-# are repeated every 120 ms.
-_LEARNER_SILENCE_MS = 500.0
 
 
 class VoterRepair:
-    """Keeps the number of voters that tolerates the configured losses.
-
-    A voter is removed before its successor is promoted, so that no majority
-    counts both a lost disk and the disk that replaces it.
-    """
+    """Keeps the number of voters that tolerates the configured losses."""
 
     def __init__(
         self,
@@ -43,6 +36,8 @@
         self._node = node
         self._clock = clock
         self._log = log
+        # Term and number of survivable losses that were logged last.
+        self._reported = (0, 0)
 
     async def add_replica(self, request: JoinCluster) -> Joined | Failure:
         """Add a replica as a learner, or report that its id was retired.
@@ -61,7 +56,9 @@
             ),
         )
         if isinstance(reply, Failure):
-            return reply
+            # The removal may have been committed during the call.
+            retired = self._node.is_retired(request.voter_id)
+            return Joined(retired=True) if retired else reply
         self._log.event('replica_joined', replica=request.voter_id)
         return Joined(retired=False)
 
@@ -74,87 +71,95 @@
 
     async def _repair(self) -> None:
         """Make at most one change to the set of replicas."""
-        replicas = self._node.log.replicas.replicas
-        learners = [replica for replica in replicas if not replica.voter]
-        voters = [replica for replica in replicas if replica.voter]
-        superseded = self._find_superseded(learners)
-        if superseded is not None:
-            await self._remove_replica(superseded, 'superseded')
+        plan = self._plan()
+        self._report(plan)
+        step = plan.next_step()
+        if step is None:
             return
-        ready = [learner for learner in learners if self._is_ready(learner)]
-        if not ready:
+        if isinstance(step.request, VoterExchange):
+            await self._exchange(plan, step.request, step.cause)
             return
-        if len(voters) < self._options.voter_count:
-            await self._promote_learner(ready[0])
+        reply = await self._node.change_replicas(step.request)
+        self._log.event(
+            'replica_removed',
+            replica=step.request.voter_id,
+            cause=step.cause.value,
+            outcome=_outcome(reply),
+        )
+
+    async def _exchange(
+        self,
+        plan: RepairPlan,
+        exchange: VoterExchange,
+        cause: RepairCause,
+    ) -> None:
+        removed, added = exchange.removed, exchange.added
+        self._log.event(
+            'voter_exchange_started',
+            removed=_listed(removed),
+            added=_listed(added),
+            cause=cause.value,
+            removed_silence_ms=_silences(plan, removed),
+            added_silence_ms=_silences(plan, added),
+            voters=_listed(voter_ids(self._node.log.replicas)),
+            losses=plan.survivable_losses,
+            losses_after=plan.survivable_losses_after(exchange),
+        )
+        reply = await self._node.change_replicas(exchange)
+        self._log.event(
+            'voter_removed' if removed else 'voter_promoted',
+            replica=_listed(removed or added),
+            cause=cause.value,
+            successor=_listed(added),
+            voters=_listed(voter_ids(self._node.log.replicas)),
+            outcome=_outcome(reply),
+        )
+
+    def _report(self, plan: RepairPlan) -> None:
+        """Log how many lost disks the voters survive, whenever it changes."""
+        state = (self._node.leader_term, plan.survivable_losses)
+        if state == self._reported:
             return
-        lost = self._find_lost(voters)
-        if lost is not None:
-            await self._remove_replica(lost, 'silent')
+        self._reported = state
+        self._log.event(
+            'survivable_losses',
+            losses=plan.survivable_losses,
+            tolerated=self._options.losses,
+            voters=_listed(voter_ids(self._node.log.replicas)),
+            superseded=_ids(plan.superseded),
+        )
 
-    def _find_superseded(self, learners: list[Replica]) -> Replica | None:
-        """Return a replica whose address now belongs to a newer learner.
+    def _plan(self) -> RepairPlan:
+        replicas = self._node.log.replicas
+        health = {}
+        for replica in replicas.replicas:
+            known = self._health(replica.voter_id)
+            if known is not None:
+                health[replica.voter_id] = known
+        return RepairPlan(replicas, health, self._options.voter_count)
+
+    def _health(self, voter_id: str) -> ReplicaHealth | None:
+        silence_ms = self._node.silence_ms(voter_id)
+        if silence_ms is None:
+            return None
+        return ReplicaHealth(
+            silence_ms,
+            self._node.has_answered(voter_id),
+            self._node.is_caught_up(voter_id),
+        )
 
-        Such a replica has lost its disk and joined again under a new id.
-        """
-        successor_ids = {
-            learner.member_address: learner.voter_id
-            for learner in learners
-            if self._is_caught_up(learner)
-        }
-        for replica in self._node.log.replicas.replicas:
-            successor_id = successor_ids.get(
-                replica.member_address,
-                replica.voter_id,
-            )
-            if successor_id != replica.voter_id:
-                return replica
-        return None
-
-    def _find_lost(self, voters: list[Replica]) -> Replica | None:
-        for voter in voters:
-            if self._silence_ms(voter) > _REPLACE_AFTER_MS:
-                return voter
-        return None
-
-    def _silence_ms(self, replica: Replica) -> Milliseconds:
-        silence_ms = self._node.silence_ms(replica.voter_id)
-        return 0 if silence_ms is None else silence_ms
-
-    def _is_ready(self, learner: Replica) -> bool:
-        """Return whether a learner can take the place of a voter at once.
-
-        One that is silent as well would leave too few voters to survive the
-        loss of another disk.
-        """
-        is_silent = self._silence_ms(learner) > _LEARNER_SILENCE_MS
-        return self._is_caught_up(learner) and not is_silent
 
-    def _is_caught_up(self, replica: Replica) -> bool:
-        return self._node.is_caught_up(replica.voter_id)
+def _listed(voter_ids: Iterable[str]) -> str:
+    return ','.join(voter_ids) or '-'
 
-    async def _remove_replica(self, replica: Replica, cause: str) -> None:
-        reply = await self._node.change_replicas(RemoveVoter(replica.voter_id))
-        self._log_outcome('voter_removed', replica, cause, reply)
 
-    async def _promote_learner(self, replica: Replica) -> None:
-        reply = await self._node.change_replicas(
-            PromoteVoter(replica.voter_id),
-        )
-        self._log_outcome('voter_promoted', replica, 'caught_up', reply)
+def _ids(replicas: Iterable[Replica]) -> str:
+    return _listed(replica.voter_id for replica in replicas)
 
-    def _log_outcome(
-        self,
-        event_name: str,
-        replica: Replica,
-        cause: str,
-        reply: object,
-    ) -> None:
-        outcome = 'done'
-        if isinstance(reply, Failure):
-            outcome = reply.detail
-        self._log.event(
-            event_name,
-            replica=replica.voter_id,
-            cause=cause,
-            outcome=outcome,
-        )
+
+def _silences(plan: RepairPlan, voter_ids: Iterable[str]) -> str:
+    return _listed(f'{plan.silence_ms(item):.0f}' for item in voter_ids)
+
+
+def _outcome(reply: Done | Failure) -> str:
+    return reply.detail if isinstance(reply, Failure) else 'done'
--- a/src/borageward/control/consensus/context.py
+++ b/src/borageward/control/consensus/context.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import itertools
 
 import msgspec
 import trio
@@ -14,7 +15,8 @@
 )
 from borageward.control.consensus.log import ReplicatedLog
 from borageward.control.consensus.options import NodeOptions
-from borageward.control.consensus.replicas import find_replica, voter_ids
+from borageward.control.consensus.majorities import VoterSets, voter_sets
+from borageward.control.consensus.replicas import find_replica
 from borageward.control.signals import Signal
 from borageward.control.storage import (
     Identity,
@@ -95,10 +97,16 @@
         """Return the identity, which ties the voter id to one disk."""
         return self._identity
 
+    @property
+    def voter_sets(self) -> VoterSets:
+        """Return the voter sets in the newest replica set of the log."""
+        return voter_sets(self._log.replicas)
+
     @property
     def voters(self) -> tuple[str, ...]:
-        """Return the voter ids in the newest replica set of the log."""
-        return voter_ids(self._log.replicas)
+        """Return the ids of all replicas that belong to a voter set."""
+        ids = itertools.chain.from_iterable(self.voter_sets)
+        return tuple(dict.fromkeys(ids))
 
     @property
     def leader(self) -> Replica | None:
--- a/src/borageward/control/consensus/election.py
+++ b/src/borageward/control/consensus/election.py
@@ -13,10 +13,8 @@
 from borageward.clock import Milliseconds
 from borageward.control.consensus.context import ReplicaContext, Role
 from borageward.control.consensus.links import PeerLinks
-from borageward.control.consensus.replicas import (
-    find_replica,
-    has_majority,
-)
+from borageward.control.consensus.majorities import has_majority
+from borageward.control.consensus.replicas import find_replica
 from borageward.control.storage import Vote
 from borageward.messages.consensus import RequestVote, VoteReply
 
@@ -176,7 +174,7 @@
                         granted,
                         nursery.cancel_scope,
                     )
-        return has_majority(self._context.voters, granted)
+        return has_majority(self._context.voter_sets, granted)
 
     def _other_voters(self) -> list[str]:
         own = self._options.voter_id
@@ -202,7 +200,7 @@
             return
         if reply.granted:
             granted.add(voter)
-            if has_majority(self._context.voters, granted):
+            if has_majority(self._context.voter_sets, granted):
                 scope.cancel()
         elif reply.term > self._context.term:
             await self._adopt_term(reply.term)
--- a/src/borageward/control/consensus/eligibility.py
+++ b/src/borageward/control/consensus/eligibility.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from borageward.control.consensus.majorities import has_vote
 from borageward.control.consensus.replicas import find_replica
 from borageward.control.storage import Identity
 from borageward.messages.consensus import SetReplicas
@@ -17,7 +18,7 @@
     ``current`` is the newest replica set in its log.
     """
     own = find_replica(current.replicas, identity.voter_id)
-    if own is None or not own.voter:
+    if own is None or not has_vote(current, identity.voter_id):
         return False
     if own.storage_id:
         return own.storage_id == identity.storage_id
--- a/src/borageward/control/consensus/leadership.py
+++ b/src/borageward/control/consensus/leadership.py
@@ -7,6 +7,7 @@
 
 from borageward.control.consensus.applier import Applier
 from borageward.control.consensus.context import ReplicaContext, Role
+from borageward.control.consensus.exchange import complete_exchange
 from borageward.control.consensus.links import PeerLinks
 from borageward.control.consensus.progress import ProgressTable
 from borageward.control.consensus.replicas import bind_storage
@@ -18,7 +19,13 @@
 from borageward.control.state import StateReply
 from borageward.control.storage import Vote
 from borageward.failures import Failure, FailureReason
-from borageward.messages.consensus import LogCommand, LogEntry, StartTerm
+from borageward.messages.consensus import (
+    LogCommand,
+    LogEntry,
+    SetJointReplicas,
+    SetReplicas,
+    StartTerm,
+)
 
 _MAJORITY_CHECKS_PER_TIMEOUT = 8
 
@@ -123,15 +130,28 @@
             await self._leader_state.progress_changed.wait()
         return None if self.is_active else _no_quorum()
 
+    async def wait_for_exchange(self) -> Failure | None:
+        """Return once an exchange of voters has been completed.
+
+        Returns ``NO_QUORUM`` when leadership is lost before.
+        """
+        while isinstance(self._log.replicas, SetJointReplicas) or (
+            self._applier.commit_index < self._log.replicas_index
+        ):
+            if not self.is_active:
+                return _no_quorum()
+            await self._leader_state.progress_changed.wait()
+        return None
+
     def step_down(self) -> None:
         """Stop leading in this term."""
         if self.is_active:
             self._context.become_follower('')
 
     def _is_confirmed(self, target_round: int) -> bool:
-        voters = self._context.voters
         confirmed = self._progress.confirmed_round(
-            voters, self._leader_state.round
+            self._context.voter_sets,
+            self._leader_state.round,
         )
         return self.is_ready and confirmed >= target_round
 
@@ -167,7 +187,7 @@
 
     def _commit_entries(self) -> None:
         commit_index = self._progress.match_index(
-            self._context.voters,
+            self._context.voter_sets,
             self._log.synced_index,
         )
         # Only an entry of this term may be committed by counting replicas;
@@ -181,7 +201,7 @@
             self._leader_state.work_available.notify()
             self._leader_state.progress_changed.notify()
             self._step_down_when_removed(commit_index)
-        self._bind_storage()
+        self._append_next_replicas()
 
     def _step_down_when_removed(self, commit_index: int) -> None:
         if commit_index < self._log.replicas_index:
@@ -189,20 +209,33 @@
         if self._options.voter_id not in self._context.voters:
             self.step_down()
 
-    def _bind_storage(self) -> None:
-        """Append the storage ids of the initial voters once all are known."""
+    def _append_next_replicas(self) -> None:
+        """Append the replica set that follows the newest one by itself.
+
+        A leader that has found an exchange of voters in its log completes it,
+        too. It appends nothing before an entry of its own term is committed:
+        otherwise a replica set that an earlier leader has appended could still
+        come into use, and its majority need not overlap with the new one.
+        """
         if self._applier.commit_index < self._log.replicas_index:
             return
         current = self._log.replicas
+        following: SetReplicas | None
+        if isinstance(current, SetJointReplicas):
+            following = complete_exchange(current)
+        else:
+            following = bind_storage(current, self._storage_ids())
+        if following is not None:
+            self._append(following)
+
+    def _storage_ids(self) -> dict[str, bytes]:
+        """Return the storage ids, by voter id, that this replica knows."""
         identity = self._context.identity
-        storage = {
+        return {
             **identity.known,
             **self._progress.storage_ids(),
             identity.voter_id: identity.storage_id,
         }
-        bound = bind_storage(current, storage)
-        if bound is not None:
-            self._append(bound)
 
     async def _adopt_term(self, term: int) -> None:
         async with self._context.lock:
@@ -219,7 +252,7 @@
             )
             now_ms = self._options.clock.now_ms()
             confirmed_ms = self._progress.confirmed_ms(
-                self._context.voters,
+                self._context.voter_sets,
                 now_ms,
             )
             if now_ms - confirmed_ms > timeout_ms:
--- a/src/borageward/control/consensus/membership.py
+++ b/src/borageward/control/consensus/membership.py
@@ -1,8 +1,14 @@
-"""Changes of the replica set, one replica at a time."""
+"""Changes of the replica set, one change at a time."""
 
 from __future__ import annotations
 
+from typing import TypeAlias
+
 from borageward.control.consensus.applier import Applier
+from borageward.control.consensus.exchange import (
+    VoterExchange,
+    begin_exchange,
+)
 from borageward.control.consensus.leadership import Leadership
 from borageward.control.consensus.log import ReplicatedLog
 from borageward.control.consensus.options import NodeOptions
@@ -13,7 +19,7 @@
     remove_voter,
 )
 from borageward.failures import Failure, FailureReason
-from borageward.messages.consensus import SetReplicas
+from borageward.messages.consensus import SetJointReplicas, SetReplicas
 from borageward.messages.control import (
     AddLearner,
     Done,
@@ -21,6 +27,10 @@
     RemoveVoter,
 )
 
+ReplicaRequest: TypeAlias = (
+    AddLearner | PromoteVoter | RemoveVoter | VoterExchange
+)
+
 
 class ReplicaChange:
     """A change of the replica set, which the leader writes to the log."""
@@ -38,28 +48,37 @@
         self._applier = applier
         self._options = options
 
-    async def run(
-        self,
-        request: AddLearner | PromoteVoter | RemoveVoter,
-    ) -> Done | Failure:
+    async def run(self, request: ReplicaRequest) -> Done | Failure:
         """Return once the change is committed by the new replica set.
 
         Returns ``VOTER_CHANGE_PENDING`` when an earlier change is not
-        committed, the storage id of an initial voter is not in the log or the
+        committed, the storage id of an initial voter is not in the log or a
         learner to promote has not caught up; ``INVALID_REQUEST`` when the
         change is not possible; ``NO_QUORUM`` when leadership is lost.
         """
-        if self._applier.commit_index < self._log.replicas_index:
-            return _pending('an earlier change of the replicas is uncommitted')
-        if isinstance(request, PromoteVoter) and self._has_unbound_voter():
-            return _pending('not every initial voter has replied yet')
+        pending = self._find_pending(request)
+        if pending is not None:
+            return pending
         changed = self._changed_replicas(request)
         if changed is None:
             return Done()
         if isinstance(changed, Failure):
             return changed
         reply = await self._leadership.propose(changed)
-        return reply if isinstance(reply, Failure) else Done()
+        if isinstance(reply, Failure):
+            return reply
+        return await self._leadership.wait_for_exchange() or Done()
+
+    def _find_pending(self, request: ReplicaRequest) -> Failure | None:
+        if self._applier.commit_index < self._log.replicas_index:
+            return _pending('an earlier change of the replicas is uncommitted')
+        if isinstance(self._log.replicas, SetJointReplicas):
+            return _pending('an exchange of voters is not completed')
+        if not self._has_unbound_voter():
+            return None
+        if isinstance(request, PromoteVoter | VoterExchange):
+            return _pending('not every initial voter has replied yet')
+        return None
 
     def _has_unbound_voter(self) -> bool:
         """Return whether the storage id of a voter is not in the log yet."""
@@ -68,14 +87,21 @@
 
     def _changed_replicas(
         self,
-        request: AddLearner | PromoteVoter | RemoveVoter,
+        request: ReplicaRequest,
     ) -> SetReplicas | Failure | None:
         current = self._log.replicas
         if isinstance(request, AddLearner):
             return add_learner(current, request)
         if isinstance(request, RemoveVoter):
             return remove_voter(current, request)
-        return self._promoted_replicas(current, request)
+        if isinstance(request, PromoteVoter):
+            return self._promoted_replicas(current, request)
+        for voter_id in request.added:
+            behind = self._find_behind(voter_id)
+            if behind is not None:
+                return behind
+        storage_ids = self._leadership.progress.storage_ids()
+        return begin_exchange(current, request, storage_ids)
 
     def _promoted_replicas(
         self,
@@ -85,15 +111,23 @@
         replica = find_replica(current.replicas, request.voter_id)
         if replica is None or replica.voter:
             return promote_voter(current, request, b'')
-        progress = self._leadership.progress.find(request.voter_id)
+        behind = self._find_behind(request.voter_id)
+        if behind is not None:
+            return behind
+        storage_ids = self._leadership.progress.storage_ids()
+        return promote_voter(current, request, storage_ids[request.voter_id])
+
+    def _find_behind(self, voter_id: str) -> Failure | None:
+        """Return a failure unless a replica holds all committed entries."""
+        progress = self._leadership.progress.find(voter_id)
         reached = 0 if progress is None else progress.match_index
         needed = self._applier.commit_index
-        if progress is None or reached < needed:
-            return _pending(
-                f'{request.voter_id} has not caught up: '
-                f'it has {reached} of {needed} entries',
-            )
-        return promote_voter(current, request, progress.storage_id)
+        if reached and reached >= needed:
+            return None
+        return _pending(
+            f'{voter_id} has not caught up: '
+            f'it has {reached} of {needed} entries',
+        )
 
 
 def _pending(detail: str) -> Failure:
--- a/src/borageward/control/consensus/node.py
+++ b/src/borageward/control/consensus/node.py
@@ -15,10 +15,13 @@
 from borageward.control.consensus.leadership import Leadership
 from borageward.control.consensus.links import PeerLinks
 from borageward.control.consensus.log import ReplicatedLog
-from borageward.control.consensus.membership import ReplicaChange
+from borageward.control.consensus.membership import (
+    ReplicaChange,
+    ReplicaRequest,
+)
 from borageward.control.consensus.options import NodeOptions
 from borageward.control.consensus.progress import PeerProgress
-from borageward.control.consensus.replicas import learner_ids, voter_ids
+from borageward.control.consensus.majorities import learner_ids
 from borageward.control.signals import Signal
 from borageward.control.state import StateMachine, StateReply
 from borageward.control.storage import (
@@ -38,13 +41,7 @@
     Replica,
     SetReplicas,
 )
-from borageward.messages.control import (
-    AddLearner,
-    ControlStatus,
-    Done,
-    PromoteVoter,
-    RemoveVoter,
-)
+from borageward.messages.control import ControlStatus, Done
 
 StoredT = TypeVar('StoredT')
 
@@ -117,7 +114,7 @@
             self._context.term,
             self._context.leader_id,
             self._applier.commit_index,
-            voter_ids(self._log.replicas),
+            self._context.voters,
             learner_ids(self._log.replicas),
             len(self.machine.claims),
             self.machine.revisions.revision,
@@ -187,6 +184,14 @@
             return None
         return self._options.clock.now_ms() - progress.answered_sent_ms
 
+    def has_answered(self, voter_id: str) -> bool:
+        """Return whether a replica has answered in the term of this leader.
+
+        Returns false when this replica does not lead.
+        """
+        progress = self._progress_of(voter_id)
+        return progress is not None and bool(progress.storage_id)
+
     def is_caught_up(self, voter_id: str) -> bool:
         """Return whether a replica holds all entries that are committed.
 
@@ -208,9 +213,9 @@
 
     async def change_replicas(
         self,
-        request: AddLearner | PromoteVoter | RemoveVoter,
+        request: ReplicaRequest,
     ) -> Done | Failure:
-        """Add, promote or remove one replica.
+        """Add, promote or remove one replica, or exchange voters.
 
         Returns ``VOTER_CHANGE_PENDING`` while another change is not committed
         or a learner that should be promoted has not caught up,
--- a/src/borageward/control/consensus/progress.py
+++ b/src/borageward/control/consensus/progress.py
@@ -7,7 +7,10 @@
 import attrs
 
 from borageward.clock import Milliseconds
-from borageward.control.consensus.replicas import majority_value
+from borageward.control.consensus.majorities import (
+    VoterSets,
+    majority_value,
+)
 
 
 @attrs.define(slots=True)
@@ -61,27 +64,27 @@
         """Return the progress of a replica, or ``None`` when unknown."""
         return self._peers.get(voter_id)
 
-    def match_index(self, voters: tuple[str, ...], own_index: int) -> int:
-        """Return the highest index that a majority has synced."""
+    def match_index(self, sets: VoterSets, own_index: int) -> int:
+        """Return the highest index that a majority of each set has synced."""
         reached = {
             voter: progress.match_index
             for voter, progress in self._peers.items()
         }
         reached[self._own_id] = own_index
-        return majority_value(voters, reached, 0)
+        return majority_value(sets, reached, 0)
 
-    def confirmed_round(self, voters: tuple[str, ...], own_round: int) -> int:
-        """Return the newest confirmation round a majority has answered."""
+    def confirmed_round(self, sets: VoterSets, own_round: int) -> int:
+        """Return the newest confirmation round that majorities answered."""
         reached = {
             voter: progress.answered_round
             for voter, progress in self._peers.items()
         }
         reached[self._own_id] = own_round
-        return majority_value(voters, reached, 0)
+        return majority_value(sets, reached, 0)
 
     def confirmed_ms(
         self,
-        voters: tuple[str, ...],
+        sets: VoterSets,
         now_ms: Milliseconds,
     ) -> Milliseconds:
         """Return the latest time in ms at which a majority still followed.
@@ -93,7 +96,7 @@
             for voter, progress in self._peers.items()
         }
         reached[self._own_id] = now_ms
-        return majority_value(voters, reached, float('-inf'))
+        return majority_value(sets, reached, float('-inf'))
 
     def storage_ids(self) -> dict[str, bytes]:
         """Return the storage ids, by voter id, of all that have answered."""
--- a/src/borageward/control/consensus/replicas.py
+++ b/src/borageward/control/consensus/replicas.py
@@ -1,17 +1,15 @@
-"""Majorities of a replica set, and its permitted changes."""
+"""Permitted changes of a replica set."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
-from typing import TypeVar
+from collections.abc import Iterable, Mapping
 
+from borageward.control.consensus.majorities import voter_ids
 from borageward.failures import Failure, FailureReason
 from borageward.messages.consensus import Replica, SetReplicas
 from borageward.messages.control import AddLearner, PromoteVoter, RemoveVoter
 from borageward.settings import ControlAddress
 
-ValueT = TypeVar('ValueT', int, float)
-
 
 def find_replica(
     replicas: Iterable[Replica],
@@ -24,37 +22,6 @@
     return None
 
 
-def voter_ids(current: SetReplicas) -> tuple[str, ...]:
-    """Return the ids of the voters of a replica set."""
-    return tuple(rep.voter_id for rep in current.replicas if rep.voter)
-
-
-def learner_ids(current: SetReplicas) -> tuple[str, ...]:
-    """Return the ids of the learners of a replica set."""
-    return tuple(rep.voter_id for rep in current.replicas if not rep.voter)
-
-
-def majority_value(
-    voters: Sequence[str],
-    values: Mapping[str, ValueT],
-    missing: ValueT,
-) -> ValueT:
-    """Return the highest value that a majority of the voters has reached.
-
-    ``missing`` is used for voters without a value, and without voters.
-    """
-    reached = sorted(values.get(voter, missing) for voter in voters)
-    if not reached:
-        return missing
-    return reached[(len(reached) - 1) // 2]
-
-
-def has_majority(voters: Sequence[str], granted: Iterable[str]) -> bool:
-    """Return whether a majority of the voters has granted its vote."""
-    votes = len(set(voters) & set(granted))
-    return 2 * votes > len(voters)
-
-
 def add_learner(
     current: SetReplicas,
     request: AddLearner,
--- a/src/borageward/control/consensus/replication.py
+++ b/src/borageward/control/consensus/replication.py
@@ -221,7 +221,8 @@
 
     def _expected_storage_id(self) -> bytes:
         replica = find_replica(self._log.replicas.replicas, self._voter_id)
-        if replica is None or not replica.voter:
+        if replica is None:
             return b''
-        known = self._context.identity.known
-        return replica.storage_id or known.get(self._voter_id, b'')
+        if replica.storage_id or not replica.voter:
+            return replica.storage_id
+        return self._context.identity.known.get(self._voter_id, b'')
--- a/src/borageward/control/consensus/window.py
+++ b/src/borageward/control/consensus/window.py
@@ -9,10 +9,17 @@
 import msgspec
 
 from borageward.control.storage import SnapshotDocument
-from borageward.messages.consensus import LogCommand, LogEntry, SetReplicas
+from borageward.messages.consensus import (
+    LogCommand,
+    LogEntry,
+    SetJointReplicas,
+    SetReplicas,
+)
 
 _command_decoder = msgspec.msgpack.Decoder(LogCommand)
-_REPLICAS_TAG = SetReplicas.__name__.encode()
+_REPLICAS_TAGS = tuple(
+    message.__name__.encode() for message in (SetReplicas, SetJointReplicas)
+)
 
 
 @attrs.frozen(slots=True)
@@ -126,7 +133,7 @@
 
     def _add(self, entry: LogEntry) -> None:
         self._entries.append(entry)
-        if _REPLICAS_TAG not in entry.command:
+        if not any(tag in entry.command for tag in _REPLICAS_TAGS):
             return
         command = _command_decoder.decode(entry.command)
         if isinstance(command, SetReplicas):
--- a/src/borageward/control/storage/documents.py
+++ b/src/borageward/control/storage/documents.py
@@ -14,7 +14,11 @@
 from borageward.control.storage.errors import storage_failed
 from borageward.control.storage.records import pack_record, scan_records
 from borageward.failures import Failure
-from borageward.messages.consensus import Replica, SetReplicas
+from borageward.messages.consensus import (
+    Replica,
+    SetJointReplicas,
+    SetReplicas,
+)
 
 _IDENTITY = 'identity'
 _VOTE = 'vote'
@@ -83,7 +87,7 @@
     index: int
     term: int
     wall_ms: int
-    replicas: SetReplicas
+    replicas: SetReplicas | SetJointReplicas
     state: bytes
 
 
--- a/src/borageward/messages/consensus.py
+++ b/src/borageward/messages/consensus.py
@@ -59,6 +59,18 @@
     retired: tuple[str, ...]
 
 
+class SetJointReplicas(SetReplicas, frozen=True):
+    """Begin to exchange voters.
+
+    ``replicas`` lists the voters after the exchange as voters. Until it is
+    completed by a ``SetReplicas``, elections and commits need a majority of
+    these and one of ``previous_voters``, the ids of the voters before it. A
+    voter that leaves is still listed, without being marked as a voter.
+    """
+
+    previous_voters: tuple[str, ...]
+
+
 class MarkLeaving(Message, frozen=True):
     """Record that a guard incarnation accepts no new tasks."""
 
@@ -76,6 +88,7 @@
     | Approve
     | StartTerm
     | SetReplicas
+    | SetJointReplicas
     | MarkLeaving
     | PublishManifest
 )
--- a/src/borageward/telemetry/events.py
+++ b/src/borageward/telemetry/events.py
@@ -178,13 +178,32 @@
         'replica_joined': _info(
             'replica', 'The leader added the replica as a learner.'
         ),
-        'voter_removed': _info(
+        'replica_removed': _info(
             'replica, cause, outcome',
-            'A silent or superseded replica was removed, if outcome is `done`.',
+            'A superseded learner was removed, if outcome is `done`.',
+        ),
+        'voter_exchange_started': _info(
+            'removed, added, cause, removed_silence_ms, added_silence_ms, '
+            'voters, losses, losses_after',
+            'The leader begins to exchange voters. `voters` are those before '
+            'it; until it is completed a majority of these and of the new ones '
+            'is needed. `losses` and `losses_after` are the lost disks that '
+            'the voters survive before and after it.',
+        ),
+        'voter_removed': _info(
+            'replica, cause, successor, voters, outcome',
+            'A silent or superseded voter was exchanged for a learner, if '
+            'outcome is `done`; `voters` are those in use then.',
         ),
         'voter_promoted': _info(
-            'replica, cause, outcome',
-            'A learner that caught up got a vote, if outcome is `done`.',
+            'replica, cause, successor, voters, outcome',
+            'Learners that caught up got votes, if outcome is `done`.',
+        ),
+        'survivable_losses': _info(
+            'losses, tolerated, voters, superseded',
+            'Number of disks that may be lost from now on, as the leader knows '
+            'it. It should be `tolerated`; `superseded` lists replicas whose '
+            'disks were replaced.',
         ),
         'replica_retired': _warning(
             '',
--- a/tests/control/test_manifests.py
+++ b/tests/control/test_manifests.py
@@ -9,6 +9,7 @@
 
 from borageward.control.cluster.options import ClusterOptions
 from borageward.control.cluster.repair import VoterRepair
+from borageward.control.consensus import voter_ids
 from borageward.control.state import StateMachine
 from borageward.failures import FailureReason
 from borageward.messages.consensus import LogEntry
@@ -109,11 +110,12 @@
 
 
 async def wait_voters(cluster, expected):
-    """Wait until the voters known to the leader are exactly these."""
+    """Wait until exactly these voters are committed at the leader."""
     with trio.fail_after(10):
         while True:
-            leader = await cluster.wait_leader()
-            if set(leader.node.status().voters) == set(expected):
+            node = (await cluster.wait_leader()).node
+            committed = node.log.replicas_at(node.machine.applied_index)
+            if set(voter_ids(committed)) == set(expected):
                 return
             await trio.sleep(0.05)
 
--- a/tests/control/test_replaced_voters.py
+++ b/tests/control/test_replaced_voters.py
@@ -85,3 +85,28 @@
         await lose_disk(leader)
 
     run(scenario, seed=seed)
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_spare_freezes_as_it_replaces_a_frozen_voter(seed):
+    """Guards against a cluster that one lost disk ends.
+
+    A voter freezes, and the spare 2.33 s later, when the voter is about to be
+    replaced. Then another voter loses its disk (review/7).
+    """
+
+    async def scenario(cluster, operator):
+        leader, frozen, lost, spare = by_role(cluster)
+        frozen.gate.freeze()
+        await trio.sleep(2.33)
+        spare.gate.freeze()
+        with trio.move_on_after(1.67):
+            while frozen.voter_id in leader.node.status().voters:
+                await trio.sleep(0.01)
+        await trio.sleep(0.5)
+        await lose_disk(lost)
+        await trio.sleep(2)
+        spare.gate.thaw()
+        frozen.gate.thaw()
+
+    run(scenario, seed=seed)
