Let a voter with its uncommitted removal stand for election

What operators saw: control has no leader for good. A leader that is to be removed appends the last entry of the exchange, is killed before another replica has it, and another voter loses its disk. The log of the removed voter is the newest one, so it grants its vote to no other replica. It doesn't stand itself, as it is no voter by this log.

Cause: standing for election was decided by the newest replica set in the log, which may be uncommitted.

Change: a replica stands if it has a vote in the newest replica set or in the newest one that it knows to be committed. The commit index moves from the applier to the context that the election shares.

--- a/src/borageward/control/consensus/applier.py
+++ b/src/borageward/control/consensus/applier.py
@@ -35,7 +35,6 @@
         """Create an empty state machine."""
         self._context = context
         self._machine = StateMachine()
-        self._commit_index = 0
         self._waiters: dict[int, _Waiter] = {}
         self._snapshot_index = 0
         self._snapshot_bytes = 0
@@ -49,13 +48,13 @@
     @property
     def commit_index(self) -> int:
         """Return the highest index that is committed and applied."""
-        return self._commit_index
+        return self._context.commit_index
 
     def advance(self, commit_index: int) -> None:
         """Apply the entries up to a new commit index."""
-        if commit_index <= self._commit_index:
+        if commit_index <= self._context.commit_index:
             return
-        for index in range(self._commit_index + 1, commit_index + 1):
+        for index in range(self._context.commit_index + 1, commit_index + 1):
             self._apply(index)
         self._context.changed.notify()
 
@@ -85,7 +84,7 @@
         """
         failure = self._machine.restore(snapshot.state)
         if failure is None:
-            self._commit_index = snapshot.index
+            self._context.commit_index = snapshot.index
             self._record_snapshot(snapshot)
             self._context.changed.notify()
         return failure
@@ -100,7 +99,7 @@
     def _apply(self, index: int) -> None:
         entry = self._context.log.entry(index)
         reply = self._machine.apply(entry)
-        self._commit_index = index
+        self._context.commit_index = index
         self._logged_bytes += len(entry.command)
         waiter = self._waiters.get(index)
         if waiter is not None:
@@ -109,7 +108,7 @@
             waiter.done.set()
 
     def _needs_snapshot(self) -> bool:
-        count = self._commit_index - self._snapshot_index
+        count = self._context.commit_index - self._snapshot_index
         if count < self._context.options.snapshot_entries:
             return False
         # Waiting until the log has grown by the size of the last snapshot
--- a/src/borageward/control/consensus/context.py
+++ b/src/borageward/control/consensus/context.py
@@ -68,6 +68,8 @@
         self.lock = trio.Lock()
         self.role = Role.FOLLOWER
         self.leader_id = ''
+        # Highest index that this replica knows to be committed.
+        self.commit_index = 0
         self.last_contact_ms: Milliseconds = 0
         self.disk_full = False
         self.changed = Signal()
@@ -132,7 +134,11 @@
         """Return whether this replica may stand for election."""
         if self._closed:
             return False
-        return may_stand(self._log.replicas, self._identity)
+        return may_stand(
+            self._log.replicas,
+            self._log.replicas_at(self.commit_index),
+            self._identity,
+        )
 
     def may_grant_vote(self, counted_storage_id: bytes) -> bool:
         """Return whether this replica may vote for a candidate.
--- a/src/borageward/control/consensus/eligibility.py
+++ b/src/borageward/control/consensus/eligibility.py
@@ -12,17 +12,22 @@
 from borageward.messages.consensus import SetReplicas
 
 
-def may_stand(current: SetReplicas, identity: Identity) -> bool:
+def may_stand(
+    current: SetReplicas,
+    committed: SetReplicas,
+    identity: Identity,
+) -> bool:
     """Return whether a replica may stand for election.
 
-    ``current`` is the newest replica set in its log.
+    ``current`` is the newest replica set in its log, ``committed`` the newest
+    one that it knows to be committed. A voter whose removal is not committed
+    may hold the only log that contains it. The other voters then can't win
+    without its vote, which it grants to no older log, so it has to stand.
     """
-    own = find_replica(current.replicas, identity.voter_id)
-    if own is None or not has_vote(current, identity.voter_id):
-        return False
-    if own.storage_id:
-        return own.storage_id == identity.storage_id
-    return identity.admitted
+    return _has_usable_vote(current, identity) or _has_usable_vote(
+        committed,
+        identity,
+    )
 
 
 def may_grant_vote(
@@ -37,8 +42,17 @@
     own log. It may grant its vote nevertheless: the candidate may need it, and
     its log names the disk of the replica.
     """
-    if may_stand(current, identity):
+    if _has_usable_vote(current, identity):
         return True
     if not counted_storage_id:
         return False
     return counted_storage_id == identity.storage_id
+
+
+def _has_usable_vote(replicas: SetReplicas, identity: Identity) -> bool:
+    own = find_replica(replicas.replicas, identity.voter_id)
+    if own is None or not has_vote(replicas, identity.voter_id):
+        return False
+    if own.storage_id:
+        return own.storage_id == identity.storage_id
+    return identity.admitted
--- a/tests/control/test_replaced_voters.py
+++ b/tests/control/test_replaced_voters.py
@@ -2,10 +2,20 @@
 
 from __future__ import annotations
 
+import contextlib
+import itertools
+
+import msgspec
 import pytest
 import trio
 from trio.testing import MockClock
 
+from borageward.control.consensus import VoterExchange
+from borageward.messages.consensus import (
+    AppendEntries,
+    LogCommand,
+    SetReplicas,
+)
 from borageward.messages.control import Done, PromoteVoter
 from tests.control.clusterfakes import Operator, ReplicaCluster
 
@@ -110,3 +120,72 @@
         frozen.gate.thaw()
 
     run(scenario, seed=seed)
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_voter_with_its_uncommitted_removal_stands_for_election(seed):
+    """Guards against a cluster that never elects a leader again.
+
+    A leader that removes itself is killed before any other replica has the
+    last entry of the exchange. Then another voter loses its disk. The log of
+    the removed voter is the newest one, so it grants its vote to no other, and
+    has to stand itself.
+    """
+
+    async def scenario(cluster, operator):
+        leader, lost, kept, spare = by_role(cluster)
+        others = (lost, kept, spare)
+        exchange = VoterExchange((spare.voter_id,), (leader.voter_id,))
+        async with without_entries(others, retires(leader.voter_id)):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(leader.node.change_replicas, exchange)
+                with trio.fail_after(1):
+                    while not leader.node.log.replicas.retired:
+                        await trio.sleep(0.001)
+                nursery.cancel_scope.cancel()
+            await trio.sleep(0.1)
+            leader.kill()
+            lost.wipe()
+        leader.start()
+        await lose_disk(lost)
+
+    run(scenario, seed=seed)
+
+
+def retires(voter_id):
+    """Return a function that recognizes the removal of a voter."""
+
+    def is_removal(command):
+        if not isinstance(command, SetReplicas):
+            return False
+        return voter_id in command.retired
+
+    return is_removal
+
+
+@contextlib.asynccontextmanager
+async def without_entries(processes, is_dropped):
+    """Let processes ignore log entries from the first that is dropped on."""
+
+    def is_kept(entry):
+        return not is_dropped(
+            msgspec.msgpack.decode(entry.command, type=LogCommand),
+        )
+
+    def filtered(answer):
+        async def filter_entries(request):
+            if isinstance(request, AppendEntries):
+                kept = itertools.takewhile(is_kept, request.entries)
+                request = msgspec.structs.replace(request, entries=tuple(kept))
+            return await answer(request)
+
+        return filter_entries
+
+    answers = {process: process.answer for process in processes}
+    for process, answer in answers.items():
+        process.answer = filtered(answer)
+    try:
+        yield
+    finally:
+        for process, answer in answers.items():
+            process.answer = answer
