Ask whether the id was retired when no leader is heard

What operators saw: a spare is lost for good, and with it the next repair. A voter that was cut off while it was replaced never learns of its removal: the leader has stopped to send to it, the others refuse its trial votes, and it waits for ever. A frozen voter got the removal from the requests that had waited at its socket, so it was seldom seen.

Cause: Membership took a leader that it knows for one that sends to it. The leader id is kept until a newer term comes, also when that leader hasn't been in contact for long.

Change: hears_leader, which the refusal of trial votes already used, decides.

--- a/src/borageward/control/cluster/joining.py
+++ b/src/borageward/control/cluster/joining.py
@@ -13,7 +13,7 @@
 from borageward.telemetry import EventLog
 
 _RETRY_INTERVAL_MS = 300.0
-# A member without a known leader checks at this interval whether its id was
+# A member that hears no leader checks at this interval whether its id was
 # retired.
 _CHECK_INTERVAL_MS = 1500.0
 _CALL_TIMEOUT_MS = 700.0
@@ -56,7 +56,7 @@
             await self._clock.sleep_ms(self._interval_ms())
             if self._node.is_refused:
                 return
-            if self._node.leader is not None and self._is_member():
+            if self._node.hears_leader and self._is_member():
                 continue
             if await self._request_to_join():
                 self._log.warning('replica_retired')
--- a/src/borageward/control/consensus/context.py
+++ b/src/borageward/control/consensus/context.py
@@ -115,6 +115,19 @@
         """Return the leader of this term, or ``None`` when it is unknown."""
         return find_replica(self._log.replicas.replicas, self.leader_id)
 
+    @property
+    def hears_leader(self) -> bool:
+        """Return whether a leader was in contact within the timeout.
+
+        A leader that is known need not be alive, nor send to this replica.
+        """
+        if self.role is Role.LEADER:
+            return True
+        if not self.leader_id:
+            return False
+        since_contact_ms = self._options.clock.now_ms() - self.last_contact_ms
+        return since_contact_ms < self._options.election_timeout_ms
+
     @property
     def failed(self) -> bool:
         """Return whether the disk failed; requests are then rejected."""
--- a/src/borageward/control/consensus/handlers.py
+++ b/src/borageward/control/consensus/handlers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from borageward.control.consensus.applier import Applier
-from borageward.control.consensus.context import ReplicaContext, Role
+from borageward.control.consensus.context import ReplicaContext
 from borageward.control.consensus.replicas import find_replica
 from borageward.control.consensus.snapshots import SnapshotAssembly
 from borageward.control.storage import Vote
@@ -76,24 +76,12 @@
     def _would_grant(self, request: RequestVote) -> bool:
         if not self._context.may_grant_vote(request.storage_id):
             return False
-        if self._has_live_leader():
+        if self._context.hears_leader:
             return False
         if request.term < self._context.term:
             return False
         return self._log.is_up_to_date(request.last_index, request.last_term)
 
-    def _has_live_leader(self) -> bool:
-        """Return whether a leader was in contact within the timeout."""
-        if self._context.role is Role.LEADER:
-            return True
-        if not self._context.leader_id:
-            return False
-        options = self._context.options
-        since_contact_ms = (
-            options.clock.now_ms() - self._context.last_contact_ms
-        )
-        return since_contact_ms < options.election_timeout_ms
-
     async def _serve_vote(self, request: RequestVote) -> VoteReply | Failure:
         granted = self._would_grant(request)
         if request.term == self._context.term:
--- a/src/borageward/control/consensus/node.py
+++ b/src/borageward/control/consensus/node.py
@@ -102,6 +102,11 @@
         """Return the leader of this term, or ``None`` when it is unknown."""
         return self._context.leader
 
+    @property
+    def hears_leader(self) -> bool:
+        """Return whether a leader has been in contact of late, or leads."""
+        return self._context.hears_leader
+
     @property
     def changed(self) -> Signal:
         """Return the signal sent on applied entries and leader changes."""
--- a/tests/control/test_joining.py
+++ b/tests/control/test_joining.py
@@ -33,7 +33,7 @@
 class Node:
     """Stub of a node that has no log yet."""
 
-    leader = None
+    hears_leader = False
     is_refused = False
 
     class log:  # noqa: N801 Stands for an attribute.
--- a/tests/control/test_retired_replicas.py
+++ b/tests/control/test_retired_replicas.py
@@ -267,3 +267,28 @@
     with trio.fail_after(CALM_S):
         while process.supervisor.replica is not None:
             await trio.sleep(0.001)
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_replaced_voter_that_was_cut_off_joins_again(seed):
+    """Guards against a spare that is lost for good.
+
+    A voter is cut off until it has been replaced. Nothing that it receives
+    afterwards tells of its removal, and the leader that it knows still leads.
+    """
+
+    async def scenario(cluster, operator):
+        replaced = by_leader(cluster)[1]
+        former_id = replaced.voter_id
+        cluster.network.isolate(replaced.address)
+        await trio.sleep(CALM_S)
+        assert former_id not in cluster.voters()
+        # The leader stops to send to a removed replica with the next entry.
+        await operator.publish_until_acknowledged()
+        await trio.sleep(1)
+        cluster.network.heal()
+        await trio.sleep(CALM_S)
+        assert replaced.voter_id != former_id
+        assert replaced.node.leader is not None
+
+    run(scenario, seed=seed, count=4)
