Send entries to a learner once they are committed

What operators saw: control has no leader for good. A leader that is cut off has begun to exchange a voter for the spare. The next leader does not know of it, sends its first entry to the spare only, and loses its disk. The former leader counts the spare as a voter and needs its vote, and the spare refuses it for the sake of the entry that nobody else has.

Cause: a learner got entries before they were committed, so its log could be newer than that of each replica that can be elected. A leader doesn't count learners, but a leader of another term may count the same replica as a voter.

Change: a replica without a vote in the newest replica set gets committed entries only. A learner then always lacks the entries that are being committed, so it counts as caught up when it holds all that were committed at the time of the newest request that it has answered. An operator's promotion of a replica that is silent for an election timeout is refused. Node shows the progress of a replica in place of three methods.

Ruled out: comparing only the committed part of a learner's log with that of the candidate. A replica that is a learner by its own log may have been counted already for entries before its promotion.

--- a/src/borageward/control/cluster/repair.py
+++ b/src/borageward/control/cluster/repair.py
@@ -139,13 +139,13 @@
         return RepairPlan(replicas, health, self._options.voter_count)
 
     def _health(self, voter_id: str) -> ReplicaHealth | None:
-        silence_ms = self._node.silence_ms(voter_id)
-        if silence_ms is None:
+        progress = self._node.progress_of(voter_id)
+        if progress is None:
             return None
         return ReplicaHealth(
-            silence_ms,
-            self._node.has_answered(voter_id),
-            self._node.is_caught_up(voter_id),
+            self._clock.now_ms() - progress.answered_sent_ms,
+            progress.has_answered,
+            progress.is_caught_up,
         )
 
 
--- a/src/borageward/control/consensus/membership.py
+++ b/src/borageward/control/consensus/membership.py
@@ -118,16 +118,19 @@
         return promote_voter(current, request, storage_ids[request.voter_id])
 
     def _find_behind(self, voter_id: str) -> Failure | None:
-        """Return a failure unless a replica holds all committed entries."""
+        """Return a failure unless a replica answers and has caught up."""
         progress = self._leadership.progress.find(voter_id)
-        reached = 0 if progress is None else progress.match_index
-        needed = self._applier.commit_index
-        if reached and reached >= needed:
-            return None
-        return _pending(
-            f'{voter_id} has not caught up: '
-            f'it has {reached} of {needed} entries',
-        )
+        if progress is None or not progress.is_caught_up:
+            reached = 0 if progress is None else progress.match_index
+            needed = self._applier.commit_index
+            return _pending(
+                f'{voter_id} has not caught up: '
+                f'it has {reached} of {needed} entries',
+            )
+        silence_ms = self._options.clock.now_ms() - progress.answered_sent_ms
+        if silence_ms > self._options.election_timeout_ms:
+            return _pending(f'{voter_id} is silent for {silence_ms:.0f} ms')
+        return None
 
 
 def _pending(detail: str) -> Failure:
--- a/src/borageward/control/consensus/node.py
+++ b/src/borageward/control/consensus/node.py
@@ -6,7 +6,6 @@
 
 import trio
 
-from borageward.clock import Milliseconds
 from borageward.control.consensus.applier import Applier
 from borageward.control.consensus.context import ReplicaContext
 from borageward.control.consensus.election import Election
@@ -178,34 +177,16 @@
             return self._leadership_failure()
         return await leadership.confirm_leadership()
 
-    def silence_ms(self, voter_id: str) -> Milliseconds | None:
-        """Return the age in ms of the last request that a replica answered.
+    def progress_of(self, voter_id: str) -> PeerProgress | None:
+        """Return the replication progress of a replica.
 
         Returns ``None`` when this replica does not lead or does not replicate
         to that replica.
         """
-        progress = self._progress_of(voter_id)
-        if progress is None:
+        leadership = self._leadership
+        if leadership is None or not leadership.is_active:
             return None
-        return self._options.clock.now_ms() - progress.answered_sent_ms
-
-    def has_answered(self, voter_id: str) -> bool:
-        """Return whether a replica has answered in the term of this leader.
-
-        Returns false when this replica does not lead.
-        """
-        progress = self._progress_of(voter_id)
-        return progress is not None and bool(progress.storage_id)
-
-    def is_caught_up(self, voter_id: str) -> bool:
-        """Return whether a replica holds all entries that are committed.
-
-        Returns false when this replica does not lead.
-        """
-        progress = self._progress_of(voter_id)
-        if progress is None:
-            return False
-        return progress.match_index >= self._applier.commit_index
+        return leadership.progress.find(voter_id)
 
     def is_retired(self, voter_id: str) -> bool:
         """Return whether the removal of a replica is committed.
@@ -241,12 +222,6 @@
         )
         return await change.run(request)
 
-    def _progress_of(self, voter_id: str) -> PeerProgress | None:
-        leadership = self._leadership
-        if leadership is None or not leadership.is_active:
-            return None
-        return leadership.progress.find(voter_id)
-
     async def _run_roles(self) -> None:
         await Introduction(self._context, self._links).run()
         await Election(self._context, self._links).run(starting=True)
--- a/src/borageward/control/consensus/progress.py
+++ b/src/borageward/control/consensus/progress.py
@@ -20,15 +20,34 @@
     ``next_index`` is the next entry to send, ``match_index`` the last entry
     known to be synced. ``answered_round`` and ``answered_sent_ms`` are the
     confirmation round and the send time of the newest request that the
-    replica has answered. ``storage_id`` is empty before the first answer.
+    replica has answered. ``answered_commit_index`` was the commit index when
+    the newest request with entries was sent that it has accepted.
+    ``storage_id`` is empty before the first answer.
     """
 
     next_index: int
     answered_sent_ms: Milliseconds
     match_index: int = 0
     answered_round: int = 0
+    answered_commit_index: int = 0
     storage_id: bytes = b''
 
+    @property
+    def has_answered(self) -> bool:
+        """Return whether the replica has answered in this term."""
+        return bool(self.storage_id)
+
+    @property
+    def is_caught_up(self) -> bool:
+        """Return whether the replica is behind by one request at most.
+
+        The commit index of the moment is no measure: under load, it advances
+        while each answer is under way.
+        """
+        if not self.answered_commit_index:
+            return False
+        return self.match_index >= self.answered_commit_index
+
 
 class ProgressTable:
     """Progress of the other replicas, and what a majority has reached."""
--- a/src/borageward/control/consensus/replication.py
+++ b/src/borageward/control/consensus/replication.py
@@ -8,6 +8,7 @@
 from borageward.clock import Milliseconds
 from borageward.control.consensus.context import ReplicaContext
 from borageward.control.consensus.links import PeerLinks
+from borageward.control.consensus.majorities import has_vote
 from borageward.control.consensus.progress import PeerProgress
 from borageward.control.consensus.replicas import find_replica
 from borageward.control.consensus.snapshots import SNAPSHOT_PART_BYTES
@@ -89,7 +90,7 @@
                 await self._leader_state.work_available.wait()
 
     def _has_work(self) -> bool:
-        if self._progress.next_index <= self._log.last_index:
+        if self._progress.next_index <= self._last_index():
             return True
         if self._progress.answered_round < self._leader_state.round:
             return True
@@ -98,8 +99,13 @@
     async def _send_entries(self) -> None:
         next_index = self._progress.next_index
         entries: tuple[LogEntry, ...] = ()
-        if next_index <= self._log.last_index:
-            entries = self._log.entries_from(next_index, _MAX_BATCH_BYTES)
+        last_index = self._last_index()
+        if next_index <= last_index:
+            entries = self._log.entries_between(
+                next_index,
+                last_index,
+                _MAX_BATCH_BYTES,
+            )
         commit_index = self._leader_state.commit_index
         request = AppendEntries(
             self._leader_state.term,
@@ -115,6 +121,7 @@
         if reply.accepted:
             self._record_match(reply.match_index)
             self._sent_commit_index = commit_index
+            self._progress.answered_commit_index = commit_index
         else:
             # Go back by one entry at least, or to the index that the replica
             # asks for.
@@ -122,6 +129,18 @@
             self._progress.next_index = max(1, retry_index)
         self._leader_state.progress_changed.notify()
 
+    def _last_index(self) -> int:
+        """Return the index of the last entry to send.
+
+        A replica without a vote gets committed entries only. A leader to come
+        may count it as a voter, by an exchange that this leader doesn't know
+        of, and it could refuse its vote for the sake of entries that nobody
+        needs.
+        """
+        if has_vote(self._log.replicas, self._voter_id):
+            return self._log.last_index
+        return self._leader_state.commit_index
+
     async def _send_snapshot(self) -> None:
         snapshot = await self._log.read_snapshot()
         if isinstance(snapshot, Failure) or snapshot is None:
--- a/src/borageward/control/consensus/window.py
+++ b/src/borageward/control/consensus/window.py
@@ -89,15 +89,21 @@
         """Return the entry at an index that is held in memory."""
         return self._entries[index - self._base_index - 1]
 
-    def entries_from(self, index: int, max_bytes: int) -> tuple[LogEntry, ...]:
-        """Return the entries from an index on, up to a size in bytes.
+    def entries_between(
+        self,
+        index: int,
+        last_index: int,
+        max_bytes: int,
+    ) -> tuple[LogEntry, ...]:
+        """Return the entries from an index to another, up to a size in bytes.
 
         The first entry is returned whatever its size.
         """
         chosen: list[LogEntry] = []
         remaining = max_bytes
         start = index - self._base_index - 1
-        for entry in itertools.islice(self._entries, start, None):
+        end = last_index - self._base_index
+        for entry in itertools.islice(self._entries, start, end):
             remaining -= len(entry.command)
             if chosen and remaining < 0:
                 break
--- a/tests/control/test_repair.py
+++ b/tests/control/test_repair.py
@@ -8,6 +8,7 @@
 from borageward.failures import Failure, FailureReason
 from borageward.messages import control as messages
 from borageward.messages.configuration import SetLimit
+from borageward.messages.consensus import MarkLeaving
 from tests.control.fakes import Cluster, FakePeer, Medium
 from tests.control.workload import TIMEOUT_MS, Workload
 
@@ -156,6 +157,31 @@
     run(scenario)
 
 
+def test_learner_is_promoted_while_entries_are_committed():
+    """Guards against a learner that never catches up under load.
+
+    It gets each entry once it is committed, so it always lacks the newest.
+    """
+
+    async def scenario(cluster, workload):
+        learner = cluster.add('d', learner=True)
+        await learner.start()
+        async with trio.open_nursery() as nursery:
+            for _ in range(40):
+                nursery.start_soon(commit_entries, cluster.leader().node)
+            await change(workload, messages.AddLearner('d', ADDRESS, ADDRESS))
+            await trio.sleep(1)
+            for _ in range(20):
+                progress = cluster.leader().node.progress_of('d')
+                assert progress.is_caught_up
+                await trio.sleep(0.01)
+            promoted = await call(workload, messages.PromoteVoter('d'))
+            assert promoted == messages.Done()
+            nursery.cancel_scope.cancel()
+
+    run(scenario)
+
+
 def test_silent_members_end_and_new_leader_grants_full_lease():
     """Guards against leases that never expire, or that a new leader drops.
 
@@ -216,6 +242,12 @@
     run(scenario)
 
 
+async def commit_entries(node):
+    """Commit one entry after the other, until cancelled."""
+    while True:
+        await node.propose(MarkLeaving(0))
+
+
 async def wait_successor(cluster, former):
     """Return the next leader; the frozen one still reports that it leads."""
     while True:
--- a/tests/control/test_replaced_voters.py
+++ b/tests/control/test_replaced_voters.py
@@ -14,6 +14,7 @@
 from borageward.messages.consensus import (
     AppendEntries,
     LogCommand,
+    SetJointReplicas,
     SetReplicas,
 )
 from borageward.messages.control import Done, PromoteVoter
@@ -152,6 +153,57 @@
     run(scenario, seed=seed)
 
 
+@pytest.mark.parametrize('seed', range(5))
+def test_spare_votes_although_a_lost_leader_has_sent_it_entries(seed):
+    """Guards against a cluster that never elects a leader again.
+
+    A leader that is cut off has begun to exchange a voter for the spare. The
+    next leader doesn't know of it, and loses its disk when only the spare has
+    its first entry. The former leader needs the vote of the spare.
+    """
+
+    async def scenario(cluster, operator):
+        former, removed, kept, spare = by_role(cluster)
+        exchange = VoterExchange((spare.voter_id,), (removed.voter_id,))
+        others = (removed, kept, spare)
+        async with without_entries(others, begins_exchange):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(former.node.change_replicas, exchange)
+                with trio.fail_after(1):
+                    while not begins_exchange(former.node.log.replicas):
+                        await trio.sleep(0.001)
+                cluster.network.isolate(former.address)
+                nursery.cancel_scope.cancel()
+        voters = (former, removed, kept)
+        async with without_entries(voters, lambda _: True):
+            with trio.fail_after(5):
+                while not new_leaders(cluster, former):
+                    await trio.sleep(0.01)
+            await trio.sleep(0.5)
+            successor = new_leaders(cluster, former)[0]
+            successor.wipe()
+        cluster.network.heal()
+        await lose_disk(successor)
+
+    run(scenario, seed=seed)
+
+
+def new_leaders(cluster, former):
+    """Return the processes that lead in a newer term than a former leader."""
+    term = former.node.status().term
+    return [
+        process
+        for process in cluster
+        if process.node.status().leader == process.voter_id
+        and process.node.status().term > term
+    ]
+
+
+def begins_exchange(command):
+    """Return whether a command begins an exchange of voters."""
+    return isinstance(command, SetJointReplicas)
+
+
 def retires(voter_id):
     """Return a function that recognizes the removal of a voter."""
 
