--- a/src/borageward/control/consensus/leadership.py
+++ b/src/borageward/control/consensus/leadership.py
@@ -213,9 +213,7 @@
         """Append the replica set that follows the newest one by itself.
 
         A leader that has found an exchange of voters in its log completes it,
-        too. It appends nothing before an entry of its own term is committed:
-        otherwise a replica set that an earlier leader has appended could still
-        come into use, and its majority need not overlap with the new one.
+        too.
         """
         if self._applier.commit_index < self._log.replicas_index:
             return
