Refuse calls of a closed client instead of ending the process

What operators saw: a control process ends with "Nursery is closed to new arrivals" as its replica is replaced, while it forwards calls of the operator.

Cause: the connections of a replica belong to a nursery that ends with the replica's id. A call that an operator's connection forwards runs in another nursery; it opened a connection after that end, and its reader had no place to run. Closing the client closed only the connections that were open.

Change: FramePeer and ReplicaCalls stay closed. Calls in progress and later ones return LINK_BROKEN, also those that are connecting; the operator is then sent to the leader, as with any broken link.

--- a/src/borageward/discovery/replicas.py
+++ b/src/borageward/discovery/replicas.py
@@ -7,7 +7,7 @@
 import trio
 
 from borageward.clock import Milliseconds
-from borageward.failures import Failure
+from borageward.failures import Failure, FailureReason
 from borageward.messages.base import Rejected
 from borageward.messages.discovery import DiscoveryReply
 from borageward.messages.queues import ManifestReply
@@ -41,6 +41,7 @@
         """Use the nursery for the tasks that read from connections."""
         self._nursery = nursery
         self._peers: dict[str, FramePeer] = {}
+        self._closed = False
 
     async def call(
         self,
@@ -61,11 +62,17 @@
         return reply.failure() if isinstance(reply, Rejected) else reply
 
     async def close(self) -> None:
-        """Close all connections."""
+        """Close all connections; later calls return ``LINK_BROKEN``."""
+        self._closed = True
         for peer in self._peers.values():
             await peer.close()
 
     def _peer(self, address: str) -> FramePeer | Failure:
+        if self._closed:
+            return Failure(
+                FailureReason.LINK_BROKEN,
+                'the connections to the control replicas are closed',
+            )
         peer = self._peers.get(address)
         if peer is not None:
             return peer
--- a/src/borageward/transport/rpc.py
+++ b/src/borageward/transport/rpc.py
@@ -143,6 +143,7 @@
         self._pending: dict[int, _PendingCall] = {}
         self._connection: FrameConnection[_Envelope] | None = None
         self._connect_lock = trio.Lock()
+        self._closed = False
 
     async def call(
         self,
@@ -164,7 +165,12 @@
         return Failure(FailureReason.TIMEOUT, f'no reply from {self._address}')
 
     async def close(self) -> None:
-        """Close the connection; calls in progress return ``LINK_BROKEN``."""
+        """Close the connection for good.
+
+        Calls in progress and later ones return ``LINK_BROKEN``. The nursery
+        may end afterwards, while callers of other nurseries go on.
+        """
+        self._closed = True
         connection = self._connection
         self._connection = None
         if connection is not None:
@@ -219,10 +225,22 @@
     async def _get_connection(self) -> FrameConnection[_Envelope]:
         async with self._connect_lock:
             if self._connection is None:
-                self._connection = await self._connect()
-                self._nursery.start_soon(self._read_replies, self._connection)
+                await self._open_connection()
+            if self._connection is None:
+                raise LinkClosed
             return self._connection
 
+    async def _open_connection(self) -> None:
+        """Connect, unless this client is closed before or meanwhile."""
+        if self._closed:
+            return
+        connection = await self._connect()
+        if self._closed:
+            await connection.close()
+            return
+        self._connection = connection
+        self._nursery.start_soon(self._read_replies, connection)
+
     async def _connect(self) -> FrameConnection[_Envelope]:
         stream: trio.abc.Stream
         with trio.move_on_after(_CONNECT_TIMEOUT_MS / _MS_PER_SECOND) as scope:
--- a/tests/transport/test_links.py
+++ b/tests/transport/test_links.py
@@ -71,6 +71,39 @@
     await listener.close()
 
 
+async def test_calls_end_when_the_client_is_closed(monkeypatch, nursery):
+    """Guards against a process that ends when it is replaced during a call.
+
+    The client is closed while a call connects, and its nursery ends. The task
+    of the caller belongs to another nursery.
+    """
+    server = FrameRpcServer(_LOOPBACK, _serve, ControlRequest)
+    await server.start(nursery)
+    connecting = trio.Event()
+    open_stream = trio.open_tcp_stream
+    replies = []
+
+    async def open_late(host, port):
+        connecting.set()
+        await trio.sleep(0.05)
+        return await open_stream(host, port)
+
+    async def call(peer):
+        replies.append(await peer.call(EndIncarnation(1), 5000))
+
+    monkeypatch.setattr(trio, 'open_tcp_stream', open_late)
+    async with trio.open_nursery() as callers:
+        async with trio.open_nursery() as readers:
+            peer = FramePeer(server.address, ControlReply, readers)
+            callers.start_soon(call, peer)
+            await connecting.wait()
+            await peer.close()
+        callers.start_soon(call, peer)
+    reasons = [reply.reason for reply in replies]
+    assert reasons == [FailureReason.LINK_BROKEN, FailureReason.LINK_BROKEN]
+    await server.close()
+
+
 async def test_grpc_call_returns_reply(nursery):
     """Guards against a lost reply and a call that ignores its timeout.
 
