--- a/src/borageward/telemetry/eventmetrics.py
+++ b/src/borageward/telemetry/eventmetrics.py
@@ -26,6 +26,11 @@
         'runs_ordered': 'waited_ms',
     },
 )
+# Event and field that set the gauge of the disks that control may lose. Only
+# the leader knows the number, until the event that ends its lead.
+_LOSSES_EVENT = 'survivable_losses'
+_LOSSES_FIELD = 'losses'
+_LOSSES_END_EVENT = 'leader_stopped'
 _LAG_SAMPLE_INTERVAL_MS = 500.0
 
 
@@ -42,6 +47,7 @@
         )
         self._latencies: dict[str, LatencyHistogram] = {}
         self._lag = LatencyHistogram()
+        self._survivable_losses: int | None = None
 
     def observe(self, name: str, fields: Mapping[str, Any]) -> None:
         """Count an event and record the latency that it reports, if any."""
@@ -51,6 +57,10 @@
         if latency_ms is not None:
             histogram = self._latencies.setdefault(name, LatencyHistogram())
             histogram.observe(latency_ms)
+        if name == _LOSSES_EVENT:
+            self._survivable_losses = fields[_LOSSES_FIELD]
+        elif name == _LOSSES_END_EVENT:
+            self._survivable_losses = None
 
     async def watch_loop(self, clock: Clock) -> None:
         """Record by how much timers of the event loop are late.
@@ -67,6 +77,7 @@
         """Return the families of metrics for a scrape."""
         from prometheus_client.core import (  # noqa: WPS433
             CounterMetricFamily,
+            GaugeMetricFamily,
             HistogramMetricFamily,
         )
 
@@ -92,6 +103,12 @@
         )
         lag.add_metric((), self._lag.buckets(), self._lag.sum_ms)
         yield lag
+        if self._survivable_losses is not None:
+            yield GaugeMetricFamily(
+                'borageward_survivable_losses',
+                'Disks that control may lose, as its leader knows.',
+                value=self._survivable_losses,
+            )
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/tests/control/clusterfakes.py
+++ b/tests/control/clusterfakes.py
@@ -59,11 +59,14 @@
 class ReplicaProcess:
     """Control process that can be frozen, killed, restarted and wiped."""
 
-    def __init__(self, network, nursery, address, seeds, *, first_start):
+    def __init__(
+        self, network, nursery, address, seeds, *, first_start, losses=1
+    ):
         self._network = network
         self._nursery = nursery
         self._scope = trio.CancelScope()
         self._seeds = seeds
+        self._losses = losses
         self.address = address
         self.first_start = first_start
         self.medium = Medium()
@@ -160,7 +163,7 @@
             self.address,
             tuple(ControlAddress(seed, seed) for seed in self._seeds),
             self.first_start,
-            1,
+            self._losses,
             pathlib.Path(),
         )
 
@@ -168,7 +171,7 @@
 class ReplicaCluster:
     """Processes of one cluster; the first three are its initial voters."""
 
-    def __init__(self, nursery, *, count, seed):
+    def __init__(self, nursery, *, count, seed, losses=1):
         self.network = Network(seed)
         self._nursery = nursery
         self.addresses = [f'10.0.0.{number}:7' for number in range(count)]
@@ -180,6 +183,7 @@
                 address,
                 seeds,
                 first_start=address in seeds,
+                losses=losses,
             )
             process.start()
 
