Replace a disk that is lost at the first start

What operators saw: control runs with two of three voters for good, and no voter is ever exchanged. A disk is lost in the first 0.1 s of the first start, before its voter has introduced itself to the others.

Cause: the leader bound the voters to their disks only once all disks were known, and an exchange waited for that. The lost disk is never known.

Change: each disk is bound as soon as it is known, and an exchange asks only for the voters that stay. A leader accepts answers of a voter that leaves from its first disk only, as before.

--- a/src/borageward/control/consensus/membership.py
+++ b/src/borageward/control/consensus/membership.py
@@ -74,16 +74,26 @@
             return _pending('an earlier change of the replicas is uncommitted')
         if isinstance(self._log.replicas, SetJointReplicas):
             return _pending('an exchange of voters is not completed')
-        if not self._has_unbound_voter():
-            return None
-        if isinstance(request, PromoteVoter | VoterExchange):
-            return _pending('not every initial voter has replied yet')
+        if isinstance(request, PromoteVoter):
+            return self._find_unbound(())
+        if isinstance(request, VoterExchange):
+            return self._find_unbound(request.removed)
         return None
 
-    def _has_unbound_voter(self) -> bool:
-        """Return whether the storage id of a voter is not in the log yet."""
-        replicas = self._log.replicas.replicas
-        return any(rep.voter and not rep.storage_id for rep in replicas)
+    def _find_unbound(self, removed: tuple[str, ...]) -> Failure | None:
+        """Return a failure if a voter that stays isn't bound to its disk.
+
+        A new voter knows the disks of the others from the log only.
+        """
+        unbound = [
+            rep.voter_id
+            for rep in self._log.replicas.replicas
+            if rep.voter and not rep.storage_id
+        ]
+        for voter_id in unbound:
+            if voter_id not in removed:
+                return _pending(f'{voter_id} has not replied yet')
+        return None
 
     def _changed_replicas(
         self,
--- a/src/borageward/control/consensus/replicas.py
+++ b/src/borageward/control/consensus/replicas.py
@@ -97,15 +97,17 @@
     current: SetReplicas,
     storage: Mapping[str, bytes],
 ) -> SetReplicas | None:
-    """Return the replica set with a storage id for each voter.
+    """Return the replica set with each storage id of a voter that is known.
 
-    Returns ``None`` while the storage id of a voter is unknown, and when all
-    voters have one already.
+    Returns ``None`` when none is new. A voter whose disk was lost before it
+    was known stays without one until it is replaced.
     """
     unbound = [
-        rep for rep in current.replicas if rep.voter and not rep.storage_id
+        rep
+        for rep in current.replicas
+        if rep.voter and not rep.storage_id and rep.voter_id in storage
     ]
-    if not unbound or any(rep.voter_id not in storage for rep in unbound):
+    if not unbound:
         return None
     for rep in unbound:
         bound = Replica(
--- a/src/borageward/control/consensus/replication.py
+++ b/src/borageward/control/consensus/replication.py
@@ -242,6 +242,6 @@
         replica = find_replica(self._log.replicas.replicas, self._voter_id)
         if replica is None:
             return b''
-        if replica.storage_id or not replica.voter:
+        if replica.storage_id or self._voter_id not in self._context.voters:
             return replica.storage_id
         return self._context.identity.known.get(self._voter_id, b'')
--- a/tests/control/test_retired_replicas.py
+++ b/tests/control/test_retired_replicas.py
@@ -153,6 +153,28 @@
     run(scenario, seed=seed, count=3, before=lose_disk)
 
 
+@pytest.mark.parametrize('seed', range(8))
+def test_disk_lost_at_the_first_start_is_replaced(seed):
+    """Guards against a voter that is never replaced.
+
+    The other voters may not know its first disk yet.
+    """
+
+    async def scenario(cluster, operator):
+        lost = cluster[2]
+        assert lost.voter_id != lost.address
+        assert lost.voter_id in cluster.voters()
+
+    async def lose_disk(cluster):
+        await trio.sleep(0.01 * seed)
+        cluster[2].wipe()
+        cluster[2].first_start = False
+        await trio.sleep(0.5)
+        cluster[2].start()
+
+    run(scenario, seed=seed, count=3, before=lose_disk)
+
+
 def test_replica_is_not_retired_before_its_removal_is_committed():
     """Guards against an erased disk whose entries only the leader holds.
 
