Aim half of the random losses at the exchange of a voter

Change: a round plays either independent losses, or a follower and the spares that freeze 2 to 2.8 s after each other before another voter loses its disk.

--- a/tests/control/test_random_losses.py
+++ b/tests/control/test_random_losses.py
@@ -72,6 +72,16 @@
             assert len(self._cluster.leaders()) == 1
 
     async def _play_round(self):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._publish)
+            if self._random.choice((True, False)):
+                await self._disturb_exchange(nursery)
+            else:
+                await self._disturb_any(nursery)
+        self._cluster.network.heal()
+
+    async def _disturb_any(self, nursery):
+        """Disturb processes independently of each other."""
         disturbances = (
             self._freeze,
             self._freeze,
@@ -80,37 +90,29 @@
             self._lose_disk,
             self._lose_disk,
         )
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._publish)
-            if self._random.choice((True, False)):
-                await self._disturb_exchange(nursery)
-            for _ in range(self._random.randint(2, 5)):
-                disturb = self._random.choice(disturbances)
-                process = self._random.choice(list(self._cluster))
-                nursery.start_soon(disturb, process)
-                await trio.sleep(self._random.uniform(0, 3))
-        self._cluster.network.heal()
+        for _ in range(self._random.randint(2, 5)):
+            disturb = self._random.choice(disturbances)
+            process = self._random.choice(list(self._cluster))
+            nursery.start_soon(disturb, process)
+            await trio.sleep(self._random.uniform(0, 3))
 
     async def _disturb_exchange(self, nursery):
         """Freeze a voter, the spare as it takes its place, and lose a disk.
 
         Independent losses seldom meet the exchange of a voter.
         """
-        leaders = self._cluster.leaders()
-        if not leaders:
-            return
-        voters = set(leaders[0].node.status().voters)
-        processes = list(self._cluster)
-        self._random.shuffle(processes)
-        spares = [item for item in processes if item.voter_id not in voters]
-        frozen, lost, *_ = [
-            item for item in processes if item.voter_id in voters
-        ]
+        leader = self._cluster.leaders()[0]
+        voters = set(leader.node.status().voters)
+        others = [item for item in self._cluster if item is not leader]
+        self._random.shuffle(others)
+        frozen, *kept = [item for item in others if item.voter_id in voters]
+        spares = [item for item in others if item.voter_id not in voters]
         nursery.start_soon(self._freeze, frozen, 7)
-        await trio.sleep(self._random.uniform(1.8, 2.9))
-        if spares:
-            nursery.start_soon(self._freeze, spares[0], 5)
-        await trio.sleep(self._random.uniform(0.1, 2.5))
+        await trio.sleep(self._random.uniform(2, 2.8))
+        for spare in spares:
+            nursery.start_soon(self._freeze, spare, 5)
+        await trio.sleep(self._random.uniform(0.1, 1.5))
+        lost = self._random.choice([leader, *kept])
         nursery.start_soon(self._lose_disk, lost)
 
     async def _publish(self):
@@ -151,9 +153,9 @@
             process.start()
 
     def _outstanding(self):
-        """Return how many lost disks the committed replica set still lists.
+        """Return how many disks were lost and not replaced yet.
 
-        Without a leader no repair has been completed.
+        Without a leader, or with too few voters, no repair is completed.
         """
         leaders = self._cluster.leaders()
         if not leaders:
@@ -161,9 +163,8 @@
         node = max(leaders, key=lambda item: item.node.leader_term).node
         committed = node.log.replicas_at(node.machine.applied_index)
         listed = {replica.voter_id for replica in committed.replicas}
-        if len(voter_ids(committed)) < 2 * self._losses + 1:
-            return self._losses
-        self._lost &= listed
+        if len(voter_ids(committed)) > 2 * self._losses:
+            self._lost &= listed
         return len(self._lost)
 
 
