Log a refused step of the repair once, and count the leader as answering

Cause: a step that is refused, for instance while an initial voter has not replied, was logged with each check, ten lines a second. And the health of the leader itself was missing, so a former replica at the leader's own address was not taken for superseded. Both were found by reading the change.

Change: start and outcome are logged when the step or the outcome is new. The leader counts as answering.

--- a/src/borageward/control/cluster/repair.py
+++ b/src/borageward/control/cluster/repair.py
@@ -7,18 +7,19 @@
 from borageward.clock import Clock
 from borageward.control.cluster.options import ClusterOptions
 from borageward.control.cluster.repairplan import (
-    RepairCause,
     RepairPlan,
+    RepairStep,
     ReplicaHealth,
 )
 from borageward.control.consensus import Node, VoterExchange, voter_ids
 from borageward.failures import Failure
 from borageward.messages.consensus import Replica
-from borageward.messages.control import AddLearner, Done
+from borageward.messages.control import AddLearner
 from borageward.messages.discovery import Joined, JoinCluster
 from borageward.telemetry import EventLog
 
 _REPAIR_INTERVAL_MS = 200.0
+_DONE = 'done'
 
 
 class VoterRepair:
@@ -38,6 +39,9 @@
         self._log = log
         # Term and number of survivable losses that were logged last.
         self._reported = (0, 0)
+        # Step that was tried last, and its outcome. A step that fails is tried
+        # again with each check, and logged once.
+        self._tried: tuple[RepairStep, str] | None = None
 
     async def add_replica(self, request: JoinCluster) -> Joined | Failure:
         """Add a replica as a learner, or report that its id was retired.
@@ -75,44 +79,49 @@
         self._report(plan)
         step = plan.next_step()
         if step is None:
+            self._tried = None
             return
-        if isinstance(step.request, VoterExchange):
-            await self._exchange(plan, step.request, step.cause)
-            return
+        if self._tried is None or self._tried[0] != step:
+            self._log_start(plan, step)
         reply = await self._node.change_replicas(step.request)
-        self._log.event(
-            'replica_removed',
-            replica=step.request.voter_id,
-            cause=step.cause.value,
-            outcome=_outcome(reply),
-        )
+        tried = (step, reply.detail if isinstance(reply, Failure) else _DONE)
+        if tried != self._tried:
+            self._log_outcome(*tried)
+        self._tried = tried
 
-    async def _exchange(
-        self,
-        plan: RepairPlan,
-        exchange: VoterExchange,
-        cause: RepairCause,
-    ) -> None:
-        removed, added = exchange.removed, exchange.added
+    def _log_start(self, plan: RepairPlan, step: RepairStep) -> None:
+        if not isinstance(step.request, VoterExchange):
+            return
+        removed, added = step.request.removed, step.request.added
         self._log.event(
             'voter_exchange_started',
             removed=_listed(removed),
             added=_listed(added),
-            cause=cause.value,
+            cause=step.cause.value,
             removed_silence_ms=_silences(plan, removed),
             added_silence_ms=_silences(plan, added),
             voters=_listed(voter_ids(self._node.log.replicas)),
             losses=plan.survivable_losses,
-            losses_after=plan.survivable_losses_after(exchange),
+            losses_after=plan.survivable_losses_after(step.request),
         )
-        reply = await self._node.change_replicas(exchange)
+
+    def _log_outcome(self, step: RepairStep, outcome: str) -> None:
+        request = step.request
+        if not isinstance(request, VoterExchange):
+            self._log.event(
+                'replica_removed',
+                replica=request.voter_id,
+                cause=step.cause.value,
+                outcome=outcome,
+            )
+            return
         self._log.event(
-            'voter_removed' if removed else 'voter_promoted',
-            replica=_listed(removed or added),
-            cause=cause.value,
-            successor=_listed(added),
+            'voter_removed' if request.removed else 'voter_promoted',
+            replica=_listed(request.removed or request.added),
+            cause=step.cause.value,
+            successor=_listed(request.added),
             voters=_listed(voter_ids(self._node.log.replicas)),
-            outcome=_outcome(reply),
+            outcome=outcome,
         )
 
     def _report(self, plan: RepairPlan) -> None:
@@ -126,20 +135,22 @@
             losses=plan.survivable_losses,
             tolerated=self._options.losses,
             voters=_listed(voter_ids(self._node.log.replicas)),
-            superseded=_ids(plan.superseded),
+            superseded=_listed(rep.voter_id for rep in plan.superseded),
         )
 
     def _plan(self) -> RepairPlan:
         replicas = self._node.log.replicas
         health = {}
         for replica in replicas.replicas:
-            known = self._health(replica.voter_id)
+            known = self._health(replica)
             if known is not None:
                 health[replica.voter_id] = known
         return RepairPlan(replicas, health, self._options.voter_count)
 
-    def _health(self, voter_id: str) -> ReplicaHealth | None:
-        progress = self._node.progress_of(voter_id)
+    def _health(self, replica: Replica) -> ReplicaHealth | None:
+        if replica == self._node.leader:
+            return ReplicaHealth(0, has_answered=True, is_caught_up=True)
+        progress = self._node.progress_of(replica.voter_id)
         if progress is None:
             return None
         return ReplicaHealth(
@@ -153,13 +164,5 @@
     return ','.join(voter_ids) or '-'
 
 
-def _ids(replicas: Iterable[Replica]) -> str:
-    return _listed(replica.voter_id for replica in replicas)
-
-
 def _silences(plan: RepairPlan, voter_ids: Iterable[str]) -> str:
     return _listed(f'{plan.silence_ms(item):.0f}' for item in voter_ids)
-
-
-def _outcome(reply: Done | Failure) -> str:
-    return reply.detail if isinstance(reply, Failure) else 'done'
--- a/src/borageward/control/cluster/repairplan.py
+++ b/src/borageward/control/cluster/repairplan.py
@@ -44,7 +44,7 @@
     ``silence_ms`` is the age of the newest request that the replica answered,
     or the time since replication to it began. ``has_answered`` tells whether
     it answered under its voter id at all, ``is_caught_up`` whether it holds
-    all committed entries.
+    all committed entries, but for those of the newest request.
     """
 
     silence_ms: Milliseconds
@@ -76,7 +76,7 @@
     ) -> None:
         """Plan for a replica set that should have ``voter_count`` voters.
 
-        ``health`` has an entry for each replica but the leader itself.
+        ``health`` lacks replicas of which the leader knows nothing yet.
         """
         self._replicas = replicas
         self._health = health
@@ -135,7 +135,7 @@
         )
 
     def silence_ms(self, voter_id: str) -> Milliseconds:
-        """Return for how long a replica has not answered; 0 for the leader."""
+        """Return for how long a replica has not answered, 0 if unknown."""
         health = self._health.get(voter_id)
         return 0 if health is None else health.silence_ms
 
--- a/tests/control/repairmodel.py
+++ b/tests/control/repairmodel.py
@@ -572,8 +572,9 @@
     ]
     choices = [(0,) if other in answering else SILENCES_MS for other in others]
     needed = max(1, leader.leader.commit)
+    own = ReplicaHealth(0, has_answered=True, is_caught_up=True)
     for silences in itertools.product(*choices):
-        yield {
+        yield {leader.voter_id: own} | {
             other: ReplicaHealth(
                 silence_ms,
                 other in matches,
