Build failures of replica changes in one place

Cause: the exchange of voters had written again what replicas.py has (read of the diff). Change: invalid_change is shared.

--- a/src/borageward/control/consensus/exchange.py
+++ b/src/borageward/control/consensus/exchange.py
@@ -15,8 +15,11 @@
 import msgspec
 
 from borageward.control.consensus.majorities import voter_ids
-from borageward.control.consensus.replicas import find_replica
-from borageward.failures import Failure, FailureReason
+from borageward.control.consensus.replicas import (
+    find_replica,
+    invalid_change,
+)
+from borageward.failures import Failure
 from borageward.messages.consensus import (
     Replica,
     SetJointReplicas,
@@ -49,12 +52,12 @@
     voters = voter_ids(current)
     for voter_id in request.added:
         if voter_id in voters or not _is_listed(current, voter_id):
-            return _invalid(f'{voter_id} is not a learner')
+            return invalid_change(f'{voter_id} is not a learner')
     for voter_id in request.removed:
         if voter_id not in voters:
-            return _invalid(f'{voter_id} is not a voter')
+            return invalid_change(f'{voter_id} is not a voter')
     if set(voters) == set(request.removed) and not request.added:
-        return _invalid('no voter would be left')
+        return invalid_change('no voter would be left')
     replicas = tuple(
         _exchanged(replica, request, storage_ids)
         for replica in current.replicas
@@ -100,7 +103,3 @@
 
 def _is_listed(current: SetReplicas, voter_id: str) -> bool:
     return find_replica(current.replicas, voter_id) is not None
-
-
-def _invalid(detail: str) -> Failure:
-    return Failure(FailureReason.INVALID_REQUEST, detail)
--- a/src/borageward/control/consensus/replicas.py
+++ b/src/borageward/control/consensus/replicas.py
@@ -41,9 +41,13 @@
     if known is not None:
         if _address_of(known) == _address_of(added):
             return None
-        return _invalid(f'{request.voter_id} is a replica with another address')
+        return invalid_change(
+            f'{request.voter_id} is a replica with another address'
+        )
     if request.voter_id in current.retired:
-        return _invalid(f'{request.voter_id} was removed; use a new voter id')
+        return invalid_change(
+            f'{request.voter_id} was removed; use a new voter id'
+        )
     return SetReplicas((*current.replicas, added), current.retired)
 
 
@@ -59,7 +63,7 @@
     """
     known = find_replica(current.replicas, request.voter_id)
     if known is None:
-        return _invalid(f'{request.voter_id} is not in the replica set')
+        return invalid_change(f'{request.voter_id} is not in the replica set')
     if known.voter:
         return None
     promoted = Replica(
@@ -84,9 +88,9 @@
     if request.voter_id in current.retired:
         return None
     if find_replica(current.replicas, request.voter_id) is None:
-        return _invalid(f'{request.voter_id} is not in the replica set')
+        return invalid_change(f'{request.voter_id} is not in the replica set')
     if voter_ids(current) == (request.voter_id,):
-        return _invalid('the last voter cannot be removed')
+        return invalid_change('the last voter cannot be removed')
     kept = tuple(
         rep for rep in current.replicas if rep.voter_id != request.voter_id
     )
@@ -133,5 +137,6 @@
     return SetReplicas(replicas, current.retired)
 
 
-def _invalid(detail: str) -> Failure:
+def invalid_change(detail: str) -> Failure:
+    """Return the failure of a change that is not possible."""
     return Failure(FailureReason.INVALID_REQUEST, detail)
